Add the ground crates: core, kernel, platform, config and quota

Cause: the repository was empty. Change: the workspace, identifiers, clocks, typed events, JSON with comments read with all findings in one run, the micro-kernel, the store's client with settled writes, documents with publication, and conserved quotas as rate and slot ledgers with loans.

--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,3 @@
+//! The daemon of every entry host.
+
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/kernel/src/kernel.rs
@@ -0,0 +1,197 @@
+//! The micro-kernel: a registry of services, their tasks and their stop.
+
+use crate::{
+    errors::{Error, Result},
+    stage::{LifeStage, StageSignal},
+};
+use event_listener::Event;
+use futures_util::{FutureExt, future::Future, pin_mut, select_biased};
+use std::{
+    any::Any,
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+};
+
+/// `MicroKernel` lets services of one process find each other by name and runs their tasks.
+#[derive(Debug)]
+pub struct MicroKernel {
+    services: RefCell<BTreeMap<String, Rc<dyn Any>>>,
+    order: RefCell<Vec<String>>,
+    signal: StageSignal,
+    tasks: Cell<usize>,
+    idle: Event,
+}
+
+impl MicroKernel {
+    /// Creates a kernel without services.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self {
+            services: RefCell::new(BTreeMap::new()),
+            order: RefCell::new(Vec::new()),
+            signal: StageSignal::new(),
+            tasks: Cell::new(0),
+            idle: Event::new(),
+        })
+    }
+
+    /// Registers a service under a name.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Taken`] when the name is in use.
+    pub fn register<T: 'static>(&self, name: &str, service: Rc<T>) -> Result<()> {
+        let mut services = self.services.borrow_mut();
+        if services.contains_key(name) {
+            return Err(Error::taken(name));
+        }
+        services.insert(name.to_owned(), service);
+        self.order.borrow_mut().push(name.to_owned());
+        Ok(())
+    }
+
+    /// Finds the service of a name.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Missing`] or [`Error::WrongType`].
+    pub fn find<T: 'static>(&self, name: &str) -> Result<Rc<T>> {
+        let service = self.services.borrow().get(name).cloned();
+        let service = service.ok_or_else(|| Error::missing(name))?;
+        service
+            .downcast::<T>()
+            .map_err(|_| Error::wrong_type::<T>(name))
+    }
+
+    /// Gets the names of the services in their starting order.
+    pub fn names(&self) -> Vec<String> {
+        self.order.borrow().clone()
+    }
+
+    /// Gets the signal of the stages.
+    pub fn signal(&self) -> &StageSignal {
+        &self.signal
+    }
+
+    /// Runs a background task until it ends or the process has finished its work.
+    pub fn spawn_service(self: &Rc<Self>, task: impl Future<Output = ()> + 'static) {
+        let kernel = Rc::clone(self);
+        let run = async move {
+            let task = task.fuse();
+            let left = kernel.signal.reached(LifeStage::Left).fuse();
+            pin_mut!(task, left);
+            select_biased! {
+                () = left => {}
+                () = task => {}
+            }
+        };
+        compio::runtime::spawn(run).detach();
+    }
+
+    /// Runs a task that a stop waits for, such as a caller's connection.
+    pub fn spawn_work(self: &Rc<Self>, task: impl Future<Output = ()> + 'static) {
+        let kernel = Rc::clone(self);
+        kernel.tasks.set(kernel.tasks.get() + 1);
+        let run = async move {
+            // The guard counts the task down also when it panics.
+            let _guard = WorkGuard(kernel);
+            task.await;
+        };
+        compio::runtime::spawn(run).detach();
+    }
+
+    /// Gets the number of tasks that a stop waits for.
+    pub fn work_count(&self) -> usize {
+        self.tasks.get()
+    }
+
+    /// Waits until no task is left that a stop waits for.
+    pub async fn work_ended(&self) {
+        while self.tasks.get() > 0 {
+            let listener = self.idle.listen();
+            if self.tasks.get() == 0 {
+                break;
+            }
+            listener.await;
+        }
+    }
+}
+
+struct WorkGuard(Rc<MicroKernel>);
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        let left = self.0.tasks.get().saturating_sub(1);
+        self.0.tasks.set(left);
+        if left == 0 {
+            self.0.idle.notify(usize::MAX);
+        }
+    }
+}
+
+/// Waits for `SIGTERM` or `SIGINT`.
+pub async fn stop_requested() {
+    const SIGINT: i32 = 2;
+    const SIGTERM: i32 = 15;
+    let interrupt = compio::signal::unix::signal(SIGINT).fuse();
+    let terminate = compio::signal::unix::signal(SIGTERM).fuse();
+    pin_mut!(interrupt, terminate);
+    select_biased! {
+        _ = interrupt => {}
+        _ = terminate => {}
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn missing_and_wrongly_typed_services_are_typed_errors() {
+        let kernel = MicroKernel::new();
+        assert_eq!(kernel.find::<u8>("a").unwrap_err(), Error::missing("a"));
+        kernel.register("a", Rc::new(1_u8)).unwrap();
+        assert_eq!(
+            kernel.register("a", Rc::new(2_u8)).unwrap_err(),
+            Error::taken("a")
+        );
+        assert!(matches!(
+            kernel.find::<u16>("a").unwrap_err(),
+            Error::WrongType { .. }
+        ));
+        assert_eq!(*kernel.find::<u8>("a").unwrap(), 1);
+    }
+
+    #[test]
+    fn stages_go_forward_and_wake_waiters() {
+        let runtime = compio::runtime::Runtime::new().unwrap();
+        runtime.block_on(async {
+            let kernel = MicroKernel::new();
+            let waiter = Rc::clone(&kernel);
+            let task = compio::runtime::spawn(async move {
+                waiter.signal().reached(LifeStage::Refusing).await;
+                waiter.signal().stage()
+            });
+            kernel.signal().enter(LifeStage::Running);
+            kernel.signal().enter(LifeStage::Finishing);
+            kernel.signal().enter(LifeStage::Running);
+            assert_eq!(task.await.unwrap(), LifeStage::Finishing);
+        });
+    }
+
+    #[test]
+    fn a_stop_waits_for_work() {
+        let runtime = compio::runtime::Runtime::new().unwrap();
+        runtime.block_on(async {
+            let kernel = MicroKernel::new();
+            let done = Rc::new(Cell::new(false));
+            let flag = Rc::clone(&done);
+            kernel.spawn_work(async move {
+                compio::time::sleep(std::time::Duration::from_millis(20)).await;
+                flag.set(true);
+            });
+            kernel.work_ended().await;
+            assert!(done.get());
+        });
+    }
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,3 @@
+//! Links between entry hosts.
+
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,374 @@
+//! The store's client: timeouts, retries with jitter, a budget of calls, and writes that settle
+//! a lost answer by reading back.
+
+use crate::{
+    budget::CallBudget,
+    errors::{Error, Result},
+    mapping::StoreCall,
+    object::{ChangeBatch, ObjectList, StoreObject, VALUE_LIMIT, VersionAnswer},
+    stats::CallStats,
+};
+use bytes::Bytes;
+use fighall_core::{
+    clock::boot_time,
+    ids::{BootTime, Version},
+    value,
+};
+use http::StatusCode;
+use serde::de::DeserializeOwned;
+use std::{cell::RefCell, time::Duration};
+
+value! {
+    /// `ClientOptions` are the bounds of a store client.
+    pub struct ClientOptions {
+        /// Address of the store, as IP and port.
+        pub address: String,
+        /// Longest wait for an answer.
+        pub timeout: Duration,
+        /// Longest time spent on one call with its retries.
+        pub patience: Duration,
+        /// Pause before the first retry; doubled with each, with full jitter.
+        pub backoff: Duration,
+        /// Longest pause between retries.
+        pub backoff_limit: Duration,
+        /// Calls a second that this process may make.
+        pub calls_per_second: u32,
+    }
+}
+
+impl Default for ClientOptions {
+    fn default() -> Self {
+        Self {
+            address: "127.0.0.1:7700".to_owned(),
+            timeout: Duration::from_millis(800),
+            patience: Duration::from_secs(3),
+            backoff: Duration::from_millis(50),
+            backoff_limit: Duration::from_secs(2),
+            calls_per_second: 40,
+        }
+    }
+}
+
+impl ClientOptions {
+    /// Creates the default options for a store at `address`.
+    pub fn with_address(address: String) -> Self {
+        Self {
+            address,
+            ..Self::default()
+        }
+    }
+}
+
+value! {
+    /// `WriteOutcome` is the settled outcome of a conditional write.
+    pub enum WriteOutcome {
+        /// The write took effect.
+        Written {
+            /// Version of the object now.
+            version: Version,
+        },
+        /// The condition did not hold; the object as it is, or none.
+        Conflict {
+            /// The object that stands in the way.
+            current: Option<StoreObject>,
+        },
+    }
+}
+
+struct RawAnswer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+/// `StoreClient` calls the store. Calls never block anything but their own task.
+pub struct StoreClient {
+    options: ClientOptions,
+    http: cyper::Client,
+    budget: RefCell<CallBudget>,
+    stats: RefCell<CallStats>,
+    random: RefCell<fastrand::Rng>,
+}
+
+impl std::fmt::Debug for StoreClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("StoreClient")
+            .field("options", &self.options)
+            .finish_non_exhaustive()
+    }
+}
+
+impl StoreClient {
+    /// Creates a client; nothing is sent yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP client cannot be set up.
+    pub fn new(options: ClientOptions) -> Result<Self> {
+        let http = cyper::Client::builder()
+            .no_proxy()
+            .build()
+            .map_err(Error::exchange)?;
+        Ok(Self {
+            budget: RefCell::new(CallBudget::new(options.calls_per_second, boot_time())),
+            stats: RefCell::new(CallStats::default()),
+            random: RefCell::new(fastrand::Rng::new()),
+            http,
+            options,
+        })
+    }
+
+    /// Gets the counts of calls so far.
+    pub fn stats(&self) -> CallStats {
+        self.stats.borrow().clone()
+    }
+
+    /// Tells whether the store answers.
+    pub fn is_up(&self) -> bool {
+        self.stats.borrow().is_up()
+    }
+
+    /// Reads one object.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no usable answer came within the options' patience.
+    pub async fn get(&self, kind: &str, name: &str) -> Result<Option<StoreObject>> {
+        let call = StoreCall::Get {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+        };
+        let answer = self.call_retried(&call).await?;
+        match answer.status {
+            StatusCode::NOT_FOUND => Ok(None),
+            status if status.is_success() => decode(&answer).map(Some),
+            status => Err(unexpected(status)),
+        }
+    }
+
+    /// Reads all objects of a kind.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no usable answer came within the options' patience.
+    pub async fn list(&self, kind: &str) -> Result<ObjectList> {
+        let call = StoreCall::List {
+            kind: kind.to_owned(),
+        };
+        let answer = self.call_retried(&call).await?;
+        expect_success(&answer)?;
+        decode(&answer)
+    }
+
+    /// Waits up to `wait` for changes of a kind after a version. It is one call and is not
+    /// retried.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no answer came within `wait` and the options' timeout.
+    pub async fn watch(&self, kind: &str, after: Version, wait: Duration) -> Result<ChangeBatch> {
+        let call = StoreCall::Watch {
+            kind: kind.to_owned(),
+            after,
+            wait,
+        };
+        let answer = self.call_once(&call, wait + self.options.timeout).await?;
+        expect_success(&answer)?;
+        decode(&answer)
+    }
+
+    /// Creates an object that must not exist. A lost answer is settled: the value must be one
+    /// that only this caller writes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the outcome could not be settled within the options' patience.
+    pub async fn create_settled(
+        &self,
+        kind: &str,
+        name: &str,
+        value: &str,
+    ) -> Result<WriteOutcome> {
+        let call = StoreCall::Create {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            value: value.to_owned(),
+        };
+        self.write_settled(&call, kind, name, Some(value)).await
+    }
+
+    /// Writes an object that must be at version `expected`. A lost answer is settled: the value
+    /// must be one that only this caller writes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the outcome could not be settled within the options' patience.
+    pub async fn put_settled(
+        &self,
+        kind: &str,
+        name: &str,
+        value: &str,
+        expected: Version,
+    ) -> Result<WriteOutcome> {
+        let call = StoreCall::Put {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            value: value.to_owned(),
+            expected,
+        };
+        self.write_settled(&call, kind, name, Some(value)).await
+    }
+
+    /// Deletes an object that must be at version `expected`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the outcome could not be settled within the options' patience.
+    pub async fn delete_settled(
+        &self,
+        kind: &str,
+        name: &str,
+        expected: Version,
+    ) -> Result<WriteOutcome> {
+        let call = StoreCall::Delete {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            expected,
+        };
+        self.write_settled(&call, kind, name, None).await
+    }
+
+    // A conditional write can be repeated: it takes effect once, since its own success breaks the
+    // condition. A refused condition is therefore checked against the object that stands there.
+    async fn write_settled(
+        &self,
+        call: &StoreCall,
+        kind: &str,
+        name: &str,
+        value: Option<&str>,
+    ) -> Result<WriteOutcome> {
+        if let Some(value) = value
+            && value.len() > VALUE_LIMIT
+        {
+            return Err(Error::TooLarge {
+                bytes: value.len(),
+                limit: VALUE_LIMIT,
+            });
+        }
+        let answer = self.call_retried(call).await?;
+        if answer.status.is_success() {
+            let written: VersionAnswer = decode(&answer)?;
+            return Ok(WriteOutcome::Written {
+                version: written.version,
+            });
+        }
+        let refused = [StatusCode::PRECONDITION_FAILED, StatusCode::NOT_FOUND];
+        if !refused.contains(&answer.status) {
+            return Err(unexpected(answer.status));
+        }
+        let current = self.get(kind, name).await?;
+        match (&current, value) {
+            (Some(object), Some(value)) if object.value == value => Ok(WriteOutcome::Written {
+                version: object.version,
+            }),
+            (None, None) => Ok(WriteOutcome::Written { version: 0 }),
+            _ => Ok(WriteOutcome::Conflict { current }),
+        }
+    }
+
+    async fn call_retried(&self, call: &StoreCall) -> Result<RawAnswer> {
+        let started_at = boot_time();
+        let mut pause = self.options.backoff;
+        loop {
+            let outcome = self.call_once(call, self.options.timeout).await;
+            let error = match outcome {
+                Ok(answer) if !answer.status.is_server_error() => return Ok(answer),
+                Ok(answer) => unexpected(answer.status),
+                Err(error) => error,
+            };
+            let jittered = pause.mul_f64(self.random.borrow_mut().f64());
+            let spent = boot_time().saturating_sub(started_at);
+            if spent + jittered >= self.options.patience {
+                return Err(error);
+            }
+            compio::time::sleep(jittered).await;
+            pause = (pause * 2).min(self.options.backoff_limit);
+        }
+    }
+
+    async fn call_once(&self, call: &StoreCall, timeout: Duration) -> Result<RawAnswer> {
+        self.wait_for_budget(timeout).await?;
+        let operation = call.operation();
+        self.stats.borrow_mut().count_call(&operation);
+        let sent_at = boot_time();
+        let outcome = compio::time::timeout(timeout, self.exchange(call)).await;
+        let outcome = outcome.unwrap_or_else(|_| {
+            Err(Error::Timeout {
+                millis: timeout.as_millis(),
+            })
+        });
+        self.count_outcome(&operation, sent_at, &outcome);
+        outcome
+    }
+
+    async fn wait_for_budget(&self, timeout: Duration) -> Result<()> {
+        let give_up_at = boot_time() + timeout;
+        loop {
+            let now = boot_time();
+            let taken = self.budget.borrow_mut().take(now);
+            let Err(wait) = taken else {
+                return Ok(());
+            };
+            if now + wait > give_up_at {
+                return Err(Error::Budget);
+            }
+            compio::time::sleep(wait).await;
+        }
+    }
+
+    fn count_outcome(&self, operation: &str, sent_at: BootTime, outcome: &Result<RawAnswer>) {
+        let mut stats = self.stats.borrow_mut();
+        match outcome {
+            Ok(answer) if !answer.status.is_server_error() => stats.count_answer(sent_at),
+            _ => stats.count_failure(operation),
+        }
+    }
+
+    async fn exchange(&self, call: &StoreCall) -> Result<RawAnswer> {
+        let parts = call.parts();
+        let url = format!("http://{}{}", self.options.address, parts.target);
+        let mut request = self
+            .http
+            .request(parts.method, url)
+            .map_err(Error::exchange)?;
+        if let Some(condition) = &parts.condition {
+            request = request
+                .header(condition.header.as_str(), condition.value.as_str())
+                .map_err(Error::exchange)?;
+        }
+        let answer = request
+            .body(parts.body)
+            .send()
+            .await
+            .map_err(Error::exchange)?;
+        let status = answer.status();
+        let body = answer.bytes().await.map_err(Error::exchange)?;
+        Ok(RawAnswer { status, body })
+    }
+}
+
+fn unexpected(status: StatusCode) -> Error {
+    Error::Status {
+        status: status.as_u16(),
+    }
+}
+
+fn expect_success(answer: &RawAnswer) -> Result<()> {
+    if answer.status.is_success() {
+        return Ok(());
+    }
+    Err(unexpected(answer.status))
+}
+
+fn decode<T: DeserializeOwned>(answer: &RawAnswer) -> Result<T> {
+    serde_json::from_slice(&answer.body).map_err(Error::answer)
+}
--- /dev/null
+++ b/crates/platform/src/watch.rs
@@ -0,0 +1,93 @@
+//! A watch that follows one kind through outages of the store.
+
+use crate::{
+    client::StoreClient,
+    errors::Result,
+    object::{ObjectChange, ObjectList},
+};
+use fighall_core::{
+    clock::boot_time,
+    ids::{BootTime, Version},
+    value,
+};
+use std::time::Duration;
+
+/// Longest wait of one watch call. It bounds how long a silently ended watch is relied on.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+
+value! {
+    /// `WatchStep` is what one step of a watch brought.
+    pub enum WatchStep {
+        /// The whole kind, after a start or a compaction.
+        Listed {
+            /// All objects.
+            list: ObjectList,
+            /// When the call was sent: everything accepted before is included.
+            sent_at: BootTime,
+        },
+        /// Changes after the last step; often none.
+        Changed {
+            /// The changes.
+            changes: Vec<ObjectChange>,
+            /// Version up to which they are complete.
+            version: Version,
+            /// When the call was sent: everything accepted before is included.
+            sent_at: BootTime,
+        },
+    }
+}
+
+/// `KindWatch` is the position of a watch in a kind's changes.
+#[derive(Debug)]
+pub struct KindWatch {
+    kind: String,
+    after: Option<Version>,
+    wait: Duration,
+}
+
+impl KindWatch {
+    /// Creates a watch that starts by listing the kind.
+    pub fn new(kind: &str) -> Self {
+        Self {
+            kind: kind.to_owned(),
+            after: None,
+            wait: WATCH_WAIT,
+        }
+    }
+
+    /// Sets the longest wait of one call.
+    pub fn with_wait(mut self, wait: Duration) -> Self {
+        self.wait = wait;
+        self
+    }
+
+    /// Makes one call and moves on by what it brought.
+    ///
+    /// # Errors
+    ///
+    /// Returns the call's error; the watch stays where it was.
+    pub async fn step(&mut self, store: &StoreClient) -> Result<WatchStep> {
+        let sent_at = boot_time();
+        let Some(after) = self.after else {
+            let list = store.list(&self.kind).await?;
+            self.after = Some(list.version);
+            return Ok(WatchStep::Listed { list, sent_at });
+        };
+        let batch = store.watch(&self.kind, after, self.wait).await?;
+        // A store restored from an older copy answers with an older version: list again.
+        if batch.compacted || batch.version < after {
+            self.after = None;
+            return Ok(WatchStep::Changed {
+                changes: Vec::new(),
+                version: after,
+                sent_at: Duration::ZERO,
+            });
+        }
+        self.after = Some(batch.version);
+        Ok(WatchStep::Changed {
+            changes: batch.changes,
+            version: batch.version,
+            sent_at,
+        })
+    }
+}
--- /dev/null
+++ b/crates/quota/src/base.rs
@@ -0,0 +1,103 @@
+//! Base shares: what a member holds of a quota by its id alone.
+
+use crate::amount::{QuotaLimit, TOKEN};
+use fighall_core::{ids::MemberId, rendezvous, value};
+
+/// Fewest whole tokens of burst that a holder's base share should have. A smaller share could
+/// never run a request without a loan.
+const HOLDER_TOKENS: u64 = 4;
+
+value! {
+    /// `BaseHolder` is a member's position among those that share a quota.
+    #[derive(Eq)]
+    pub struct BaseHolder {
+        key: String,
+        member: MemberId,
+        members: u32,
+    }
+}
+
+impl BaseHolder {
+    /// Creates the position of `member` among `members` for the quota named `key`.
+    pub fn new(key: &str, member: MemberId, members: u32) -> Self {
+        Self {
+            key: key.to_owned(),
+            member,
+            members: members.max(1),
+        }
+    }
+
+    /// Computes the base share of a limit. The shares of all members add up to the limit exactly.
+    pub fn share(&self, limit: QuotaLimit) -> QuotaLimit {
+        let holders = self.holder_count(limit);
+        let Some(index) = self.index(holders) else {
+            return QuotaLimit::default();
+        };
+        QuotaLimit {
+            rate: part(limit.rate, holders, index),
+            capacity: part(limit.capacity, holders, index),
+        }
+    }
+
+    /// Tells whether two limits are shared out over the same holders. Only then do all members
+    /// together never exceed the larger limit while some have changed over and others not.
+    pub fn same_holders(&self, other: &Self, limit: QuotaLimit, previous: QuotaLimit) -> bool {
+        self == other && self.holder_count(limit) == other.holder_count(previous)
+    }
+
+    fn holder_count(&self, limit: QuotaLimit) -> u32 {
+        let fits = limit.capacity / (HOLDER_TOKENS * TOKEN);
+        let fits = u32::try_from(fits).unwrap_or(u32::MAX);
+        fits.clamp(1, self.members)
+    }
+
+    // All members hold a large quota in the order of their ids. A small one is held by those
+    // that rendezvous hashing ranks first, so that small quotas spread over the members.
+    fn index(&self, holders: u32) -> Option<u32> {
+        if holders == self.members {
+            return Some(self.member).filter(|member| *member < holders);
+        }
+        let own = rendezvous::weight(&self.key, &self.member.to_string());
+        let mut ahead = 0;
+        for other in 0..self.members {
+            let weight = rendezvous::weight(&self.key, &other.to_string());
+            if (weight, other) > (own, self.member) {
+                ahead += 1;
+            }
+        }
+        Some(ahead).filter(|rank| *rank < holders)
+    }
+}
+
+fn part(total: u64, holders: u32, index: u32) -> u64 {
+    let holders = u64::from(holders);
+    let remainder = u64::from(u64::from(index) < total % holders);
+    total / holders + remainder
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn shares_add_up_exactly() {
+        for members in [1, 2, 3, 9, 100] {
+            for burst in [1, 2, 5, 17, 80, 1_000_003] {
+                let limit = QuotaLimit::new(burst * 3, burst);
+                let mut sum = QuotaLimit::default();
+                for member in 0..members {
+                    sum = sum.plus(BaseHolder::new("k", member, members).share(limit));
+                }
+                assert_eq!(sum, limit, "{members} members, burst {burst}");
+            }
+        }
+    }
+
+    #[test]
+    fn a_small_quota_is_held_by_few() {
+        let limit = QuotaLimit::new(1, 5);
+        let holders =
+            (0..9).filter(|member| !BaseHolder::new("k", *member, 9).share(limit).is_zero());
+        assert_eq!(holders.count(), 1);
+    }
+}
--- /dev/null
+++ b/crates/quota/src/book.rs
@@ -0,0 +1,502 @@
+//! The book of all quotas that a host holds a share of, and the policy of lending and borrowing.
+
+use crate::{
+    amount::{MicroTokens, QuotaLimit, TOKEN, gain},
+    base::BaseHolder,
+    loan::{LoanAnswer, LoanAsk, LoanMessage, QuotaKey},
+    rate::{RateLedger, RateOptions, ShareView, reserve_for},
+    slots::{SlotLedger, SlotTicket, SlotView, rotated_member},
+};
+use fighall_core::{
+    ids::{BootTime, Generation, HostId, Incarnation, MemberId},
+    value,
+};
+use std::{collections::BTreeMap, time::Duration};
+
+value! {
+    /// `BookOptions` are the bounds of a book's loans.
+    pub struct BookOptions {
+        /// Loans of rates and links.
+        pub rates: RateOptions,
+        /// Loans of slots.
+        pub slots: RateOptions,
+    }
+}
+
+impl Default for BookOptions {
+    fn default() -> Self {
+        Self {
+            rates: RateOptions::default(),
+            slots: RateOptions::with_term(Duration::from_secs(20)),
+        }
+    }
+}
+
+value! {
+    /// `OutgoingLoan` is a message for one host.
+    pub struct OutgoingLoan {
+        /// Receiver.
+        pub peer: HostId,
+        /// Message.
+        pub message: LoanMessage,
+    }
+}
+
+impl OutgoingLoan {
+    /// Addresses a message.
+    pub fn new(peer: &str, message: LoanMessage) -> Self {
+        Self {
+            peer: peer.to_owned(),
+            message,
+        }
+    }
+}
+
+value! {
+    /// `BaseGrant` is the base share of one quota, as the configuration gives it.
+    pub struct BaseGrant {
+        /// Quota.
+        pub key: QuotaKey,
+        /// Limit; for slots the capacity alone counts.
+        pub limit: QuotaLimit,
+        /// Position among those that share it.
+        pub member: MemberId,
+        /// Number of those that share it.
+        pub members: u32,
+    }
+}
+
+#[derive(Debug)]
+struct RateEntry {
+    ledger: RateLedger,
+    waiting: MicroTokens,
+    asked_at: BootTime,
+    rounds: u32,
+    open_asks: usize,
+}
+
+#[derive(Debug)]
+struct SlotEntry {
+    ledger: SlotLedger,
+    waiting: u32,
+    asked_at: BootTime,
+    busy_at: BootTime,
+}
+
+/// Pause between two rounds of asking for the same quota.
+const ASK_PAUSE: Duration = Duration::from_millis(60);
+/// Part of the held rate, in percent, at which more is asked for ahead of need.
+const ASK_AHEAD_PERCENT: u64 = 80;
+/// Headroom on the demand that is asked for, in percent.
+const ASK_MORE_PERCENT: u64 = 125;
+/// Time without use after which borrowed slots go back.
+const SLOT_IDLE: Duration = Duration::from_millis(500);
+/// Demand for this long fits into the capacity that is asked for.
+const CAPACITY_TIME: Duration = Duration::from_millis(500);
+
+/// `QuotaBook` holds every share of a host.
+#[derive(Debug)]
+pub struct QuotaBook {
+    host: HostId,
+    incarnation: Incarnation,
+    options: BookOptions,
+    active: bool,
+    generation: Generation,
+    rates: BTreeMap<QuotaKey, RateEntry>,
+    slots: BTreeMap<QuotaKey, SlotEntry>,
+}
+
+impl QuotaBook {
+    /// Creates an empty book of a host's incarnation.
+    pub fn new(options: BookOptions, host: &str, incarnation: Incarnation) -> Self {
+        Self {
+            host: host.to_owned(),
+            incarnation,
+            options,
+            active: false,
+            generation: 0,
+            rates: BTreeMap::new(),
+            slots: BTreeMap::new(),
+        }
+    }
+
+    /// Tells whether base shares are in use.
+    pub fn is_active(&self) -> bool {
+        self.active
+    }
+
+    /// Sets the base shares of a generation. A quota that is no longer listed is lowered to zero.
+    pub fn set_bases(&mut self, now: BootTime, generation: Generation, grants: &[BaseGrant]) {
+        if generation <= self.generation {
+            return;
+        }
+        self.generation = generation;
+        let listed: std::collections::BTreeSet<_> = grants.iter().map(|grant| &grant.key).collect();
+        for (key, entry) in &mut self.rates {
+            if !listed.contains(key) {
+                let holder = BaseHolder::new("", 0, 1);
+                entry
+                    .ledger
+                    .set_base(now, generation, QuotaLimit::default(), holder);
+            }
+        }
+        for (key, entry) in &mut self.slots {
+            if !listed.contains(key) {
+                entry.ledger.set_base(now, generation, 0, 0, 1);
+            }
+        }
+        for grant in grants {
+            self.set_base(now, generation, grant);
+        }
+    }
+
+    fn set_base(&mut self, now: BootTime, generation: Generation, grant: &BaseGrant) {
+        if let QuotaKey::Slots(name) = &grant.key {
+            let total = u32::try_from(grant.limit.capacity / TOKEN).unwrap_or(u32::MAX);
+            let member = rotated_member(name, grant.member, grant.members);
+            let entry = self.slot_entry(&grant.key);
+            entry
+                .ledger
+                .set_base(now, generation, total, member, grant.members);
+            return;
+        }
+        let holder = BaseHolder::new(&grant.key.to_string(), grant.member, grant.members);
+        let entry = self.rate_entry(now, &grant.key);
+        entry.ledger.set_base(now, generation, grant.limit, holder);
+    }
+
+    /// Notes that every member has `generation` or a later one in force.
+    pub fn confirm(&mut self, now: BootTime, generation: Generation) {
+        for entry in self.rates.values_mut() {
+            entry.ledger.confirm(now, generation);
+        }
+        for entry in self.slots.values_mut() {
+            entry.ledger.confirm(now, generation);
+        }
+    }
+
+    /// Starts the use of the base shares.
+    pub fn activate(&mut self, now: BootTime) {
+        self.active = true;
+        for entry in self.rates.values_mut() {
+            entry.ledger.activate(now);
+        }
+        for entry in self.slots.values_mut() {
+            entry.ledger.activate();
+        }
+    }
+
+    /// Stops the use of all shares: the member id has moved.
+    pub fn deactivate(&mut self, now: BootTime) {
+        self.active = false;
+        for entry in self.rates.values_mut() {
+            entry.ledger.deactivate(now);
+        }
+        for entry in self.slots.values_mut() {
+            entry.ledger.deactivate();
+        }
+    }
+
+    /// Counts demand for a rate.
+    pub fn note_demand(&mut self, now: BootTime, key: &QuotaKey, amount: MicroTokens) {
+        self.rate_entry(now, key).ledger.note_demand(now, amount);
+    }
+
+    /// Spends tokens of a rate if they are held at this very time.
+    pub fn spend(&mut self, now: BootTime, key: &QuotaKey, amount: MicroTokens) -> bool {
+        self.rate_entry(now, key).ledger.spend(now, amount)
+    }
+
+    /// Notes that a request waits for tokens of a rate.
+    pub fn start_wait(&mut self, now: BootTime, key: &QuotaKey, amount: MicroTokens) {
+        let entry = self.rate_entry(now, key);
+        entry.waiting = entry.waiting.saturating_add(amount);
+    }
+
+    /// Notes that a request no longer waits for tokens.
+    pub fn end_wait(&mut self, now: BootTime, key: &QuotaKey, amount: MicroTokens) {
+        let entry = self.rate_entry(now, key);
+        entry.waiting = entry.waiting.saturating_sub(amount);
+    }
+
+    /// Gets the time until `amount` is held behind everything that waits already, if the share
+    /// stays as it is.
+    pub fn wait_for(
+        &mut self,
+        now: BootTime,
+        key: &QuotaKey,
+        amount: MicroTokens,
+    ) -> Option<Duration> {
+        let entry = self.rate_entry(now, key);
+        let total = entry.waiting.saturating_add(amount);
+        entry.ledger.wait_for(now, total)
+    }
+
+    /// Tells whether everyone who was asked has answered, at least two rounds long.
+    pub fn asked_in_vain(&mut self, now: BootTime, key: &QuotaKey) -> bool {
+        let entry = self.rate_entry(now, key);
+        entry.rounds >= 2 && entry.open_asks == 0
+    }
+
+    /// Takes a slot of a target for a request that ends by `deadline`.
+    pub fn occupy(
+        &mut self,
+        now: BootTime,
+        key: &QuotaKey,
+        deadline: BootTime,
+    ) -> Option<SlotTicket> {
+        let entry = self.slot_entry(key);
+        entry.busy_at = now;
+        entry.ledger.occupy(now, deadline)
+    }
+
+    /// Gives a slot free.
+    pub fn release(&mut self, key: &QuotaKey, ticket: SlotTicket) {
+        self.slot_entry(key).ledger.release(ticket);
+    }
+
+    /// Sets the number of requests that wait for slots of a target.
+    pub fn set_slot_waiting(&mut self, key: &QuotaKey, waiting: u32) {
+        self.slot_entry(key).waiting = waiting;
+    }
+
+    /// Gets what is held of a rate.
+    pub fn rate_view(&mut self, now: BootTime, key: &QuotaKey) -> Option<ShareView> {
+        Some(self.rates.get_mut(key)?.ledger.view(now))
+    }
+
+    /// Gets what is held of a target's slots.
+    pub fn slot_view(&mut self, now: BootTime, key: &QuotaKey) -> SlotView {
+        let entry = self.slots.get_mut(key);
+        entry.map_or_else(SlotView::default, |entry| entry.ledger.view(now))
+    }
+
+    /// Lists the quotas in the book.
+    pub fn keys(&self) -> Vec<QuotaKey> {
+        let keys = self.rates.keys().chain(self.slots.keys());
+        keys.cloned().collect()
+    }
+
+    /// Creates the askings for what requests wait for and what demand will need. `peers` come in
+    /// the order in which they are asked; `sharers` tells which peers hold a share of a quota.
+    pub fn asks(
+        &mut self,
+        now: BootTime,
+        peers: &[HostId],
+        sharers: impl Fn(&QuotaKey, &HostId) -> bool,
+    ) -> Vec<OutgoingLoan> {
+        let mut outgoing = Vec::new();
+        for (key, entry) in &mut self.rates {
+            let peers = peers.iter().filter(|peer| sharers(key, peer));
+            let peers: Vec<_> = peers.cloned().collect();
+            ask_rate(now, key, entry, &peers, &mut outgoing);
+        }
+        for (key, entry) in &mut self.slots {
+            let due = now.saturating_sub(entry.asked_at) >= ASK_PAUSE;
+            if entry.waiting == 0 || !due {
+                continue;
+            }
+            let peers: Vec<_> = peers.iter().filter(|peer| sharers(key, peer)).collect();
+            entry.asked_at = now;
+            for peer in peers {
+                let ask = entry.ledger.ask(now, key, entry.waiting.min(2));
+                outgoing.push(OutgoingLoan::new(peer, LoanMessage::Ask(ask)));
+            }
+        }
+        outgoing
+    }
+
+    /// Creates renewals of loans that are needed and returns of those that are not.
+    pub fn upkeep(&mut self, now: BootTime) -> Vec<OutgoingLoan> {
+        let mut outgoing = Vec::new();
+        for (key, entry) in &mut self.rates {
+            let demand = entry.ledger.view(now).demand;
+            let (mut needed, tokens) = reserve_for(demand, entry.waiting);
+            needed.rate = needed.rate * ASK_MORE_PERCENT / 100;
+            needed.capacity = needed.capacity.max(gain(demand, CAPACITY_TIME));
+            for (peer, returned) in entry.ledger.give_back(now, key, needed, tokens) {
+                outgoing.push(OutgoingLoan::new(&peer, LoanMessage::Return(returned)));
+            }
+            for (peer, renewal) in entry.ledger.renewals(now, key) {
+                outgoing.push(OutgoingLoan::new(&peer, LoanMessage::Renew(renewal)));
+            }
+        }
+        for (key, entry) in &mut self.slots {
+            if entry.waiting > 0 || now.saturating_sub(entry.busy_at) < SLOT_IDLE {
+                continue;
+            }
+            for (peer, returned) in entry.ledger.give_back(now, key, 0) {
+                outgoing.push(OutgoingLoan::new(&peer, LoanMessage::Return(returned)));
+            }
+        }
+        outgoing
+    }
+
+    /// Returns every loan, at a planned stop.
+    pub fn give_all_back(&mut self, now: BootTime) -> Vec<OutgoingLoan> {
+        let mut outgoing = Vec::new();
+        for (key, entry) in &mut self.rates {
+            for (peer, returned) in entry.ledger.give_back(now, key, QuotaLimit::default(), 0) {
+                outgoing.push(OutgoingLoan::new(&peer, LoanMessage::Return(returned)));
+            }
+        }
+        for (key, entry) in &mut self.slots {
+            for (peer, returned) in entry.ledger.give_back(now, key, 0) {
+                outgoing.push(OutgoingLoan::new(&peer, LoanMessage::Return(returned)));
+            }
+        }
+        outgoing
+    }
+
+    /// Gets the time until the last loan that this host lent has ended for certain.
+    pub fn outstanding(&self, now: BootTime) -> Duration {
+        let rates = self
+            .rates
+            .values()
+            .map(|entry| entry.ledger.outstanding(now));
+        let slots = self
+            .slots
+            .values()
+            .map(|entry| entry.ledger.outstanding(now));
+        rates.chain(slots).max().unwrap_or_default()
+    }
+
+    /// Handles a message of a peer; returns the answer to it, if there is one.
+    pub fn handle(
+        &mut self,
+        now: BootTime,
+        peer: &str,
+        message: &LoanMessage,
+    ) -> Option<LoanMessage> {
+        match message {
+            LoanMessage::Ask(ask) => Some(LoanMessage::Answer(self.lend(now, ask))),
+            LoanMessage::Answer(answer) => {
+                self.accept(now, peer, answer);
+                None
+            }
+            LoanMessage::Renew(renewal) => {
+                let entry = self.rates.get_mut(&renewal.key)?;
+                let short = entry.waiting > 0;
+                let extension = entry.ledger.extend(now, renewal, short)?;
+                Some(LoanMessage::Extend(extension))
+            }
+            LoanMessage::Extend(extension) => {
+                let entry = self.rates.get_mut(&extension.key)?;
+                entry.ledger.extended(now, extension);
+                None
+            }
+            LoanMessage::Return(returned) => {
+                if let Some(entry) = self.rates.get_mut(&returned.key) {
+                    entry.ledger.take_back(now, returned);
+                }
+                if let Some(entry) = self.slots.get_mut(&returned.key) {
+                    entry.ledger.take_back(now, returned);
+                }
+                None
+            }
+        }
+    }
+
+    fn lend(&mut self, now: BootTime, ask: &LoanAsk) -> LoanAnswer {
+        if let Some(entry) = self.slots.get_mut(&ask.key) {
+            return entry.ledger.lend(now, ask, entry.waiting);
+        }
+        let entry = self.rate_entry(now, &ask.key);
+        let demand = entry.ledger.view(now).demand;
+        let (reserve, tokens) = reserve_for(demand, entry.waiting);
+        entry.ledger.lend(now, ask, reserve, tokens)
+    }
+
+    fn accept(&mut self, now: BootTime, peer: &str, answer: &LoanAnswer) {
+        if let Some(entry) = self.slots.get_mut(&answer.key) {
+            entry.ledger.accept(now, peer, answer);
+            return;
+        }
+        let entry = self.rate_entry(now, &answer.key);
+        entry.open_asks = entry.open_asks.saturating_sub(1);
+        let gained = entry.ledger.accept(now, peer, answer);
+        if gained > 0 {
+            entry.rounds = 0;
+        }
+    }
+
+    fn rate_entry(&mut self, now: BootTime, key: &QuotaKey) -> &mut RateEntry {
+        if !self.rates.contains_key(key) {
+            let options = self.options.rates.clone();
+            let mut ledger = RateLedger::new(options, &self.host, self.incarnation, now);
+            if self.active {
+                ledger.activate(now);
+            }
+            let entry = RateEntry {
+                ledger,
+                waiting: 0,
+                asked_at: Duration::ZERO,
+                rounds: 0,
+                open_asks: 0,
+            };
+            self.rates.insert(key.clone(), entry);
+        }
+        self.rates.get_mut(key).unwrap_or_else(|| unreachable!())
+    }
+
+    fn slot_entry(&mut self, key: &QuotaKey) -> &mut SlotEntry {
+        if !self.slots.contains_key(key) {
+            let options = self.options.slots.clone();
+            let mut ledger = SlotLedger::new(options, &self.host, self.incarnation);
+            if self.active {
+                ledger.activate();
+            }
+            let entry = SlotEntry {
+                ledger,
+                waiting: 0,
+                asked_at: Duration::ZERO,
+                busy_at: Duration::ZERO,
+            };
+            self.slots.insert(key.clone(), entry);
+        }
+        self.slots.get_mut(key).unwrap_or_else(|| unreachable!())
+    }
+}
+
+// Asks every peer for twice its part of what is missing, and from the second round without
+// success for all of it: shares may all lie with one host.
+fn ask_rate(
+    now: BootTime,
+    key: &QuotaKey,
+    entry: &mut RateEntry,
+    peers: &[HostId],
+    outgoing: &mut Vec<OutgoingLoan>,
+) {
+    let view = entry.ledger.view(now);
+    let missing_tokens = entry.waiting.saturating_sub(view.tokens);
+    let ahead = view.demand > view.held.rate * ASK_AHEAD_PERCENT / 100;
+    let ahead = ahead && view.demand > TOKEN && view.held.rate < view.limit.rate;
+    if missing_tokens == 0 && !ahead {
+        entry.rounds = 0;
+        entry.open_asks = 0;
+        return;
+    }
+    let due = now.saturating_sub(entry.asked_at) >= ASK_PAUSE;
+    if !due || peers.is_empty() {
+        return;
+    }
+    entry.asked_at = now;
+    entry.rounds += 1;
+    entry.open_asks = peers.len();
+    let rate = (view.demand * ASK_MORE_PERCENT / 100).saturating_sub(view.held.rate);
+    let capacity = gain(view.demand, CAPACITY_TIME).saturating_sub(view.held.capacity);
+    let count = u64::try_from(peers.len()).unwrap_or(1);
+    let portion = |amount: u64| {
+        let part = (amount * 2).div_ceil(count);
+        if entry.rounds > 1 { amount } else { part }
+    };
+    let wanted = QuotaLimit {
+        rate: portion(rate),
+        capacity: portion(capacity).max(portion(missing_tokens)),
+    };
+    let tokens = portion(missing_tokens.max(capacity));
+    for peer in peers {
+        let ask = entry.ledger.ask(now, key, wanted, tokens);
+        outgoing.push(OutgoingLoan::new(peer, LoanMessage::Ask(ask)));
+    }
+}
--- /dev/null
+++ b/crates/quota/tests/support/mod.rs
@@ -0,0 +1,290 @@
+//! A small fake of a fleet: books, clocks with offsets, and a network that loses, doubles and
+//! reorders messages.
+#![allow(dead_code, missing_docs, unreachable_pub, reason = "each test file uses a part")]
+
+use fastrand::Rng;
+use fighall_core::ids::{BootTime, Generation, HostId};
+use fighall_quota::{
+    amount::{QuotaLimit, TOKEN},
+    book::{BaseGrant, BookOptions, OutgoingLoan, QuotaBook},
+    loan::{LoanMessage, QuotaKey},
+    rate::RateOptions,
+};
+use std::time::Duration;
+
+/// Milliseconds as a duration.
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A message on its way.
+struct Envelope {
+    at: Duration,
+    from: usize,
+    to: usize,
+    message: LoanMessage,
+}
+
+/// What the network does to messages.
+#[derive(Clone, Debug)]
+pub struct NetFaults {
+    pub loss_percent: u32,
+    pub double_percent: u32,
+    pub delay: (u64, u64),
+}
+
+/// One host of the fake fleet.
+pub struct FakeHost {
+    pub book: QuotaBook,
+    pub offset: Duration,
+    pub paused_until: Duration,
+    pub cut: bool,
+    pub dead: bool,
+    pub activate_at: Option<Duration>,
+    pub generation: Generation,
+    incarnation: u64,
+}
+
+/// A fleet of hosts that share quotas.
+pub struct FakeFleet {
+    pub now: Duration,
+    pub hosts: Vec<FakeHost>,
+    pub faults: NetFaults,
+    pub rng: Rng,
+    pub options: BookOptions,
+    pub messages_sent: u64,
+    net: Vec<Envelope>,
+    upkeep_at: Duration,
+}
+
+/// Quota that the tests of rates use.
+pub fn rate_key() -> QuotaKey {
+    QuotaKey::Organisation("acme".to_owned())
+}
+
+/// Quota that the tests of slots use.
+pub fn slot_key() -> QuotaKey {
+    QuotaKey::Slots("desk-1".to_owned())
+}
+
+impl FakeFleet {
+    pub fn new(count: usize, term: Duration, seed: u64) -> Self {
+        let options = BookOptions {
+            rates: RateOptions::with_term(term),
+            slots: RateOptions::with_term(term * 3),
+        };
+        let mut rng = Rng::with_seed(seed);
+        let mut hosts = Vec::new();
+        for index in 0..count {
+            hosts.push(FakeHost {
+                book: QuotaBook::new(options.clone(), &name(index), 1),
+                offset: ms(rng.u64(0..1_000_000)),
+                paused_until: Duration::ZERO,
+                cut: false,
+                dead: false,
+                activate_at: Some(Duration::ZERO),
+                generation: 0,
+                incarnation: 1,
+            });
+        }
+        Self {
+            now: ms(1),
+            hosts,
+            faults: NetFaults {
+                loss_percent: 0,
+                double_percent: 0,
+                delay: (1, 1),
+            },
+            rng,
+            options,
+            messages_sent: 0,
+            net: Vec::new(),
+            upkeep_at: Duration::ZERO,
+        }
+    }
+
+    pub fn local(&self, host: usize) -> BootTime {
+        self.now + self.hosts[host].offset
+    }
+
+    pub fn runs(&self, host: usize) -> bool {
+        let host = &self.hosts[host];
+        !host.dead && host.paused_until <= self.now
+    }
+
+    /// Puts a generation's limits in force at one host.
+    pub fn apply(&mut self, host: usize, generation: Generation, limit: QuotaLimit, slots: u32) {
+        let now = self.local(host);
+        let members = u32::try_from(self.hosts.len()).unwrap();
+        let member = u32::try_from(host).unwrap();
+        let grants = [
+            BaseGrant {
+                key: rate_key(),
+                limit,
+                member,
+                members,
+            },
+            BaseGrant {
+                key: slot_key(),
+                limit: QuotaLimit {
+                    rate: 0,
+                    capacity: u64::from(slots) * TOKEN,
+                },
+                member,
+                members,
+            },
+        ];
+        self.hosts[host].book.set_bases(now, generation, &grants);
+        self.hosts[host].generation = generation;
+    }
+
+    pub fn apply_all(&mut self, generation: Generation, limit: QuotaLimit, slots: u32) {
+        for host in 0..self.hosts.len() {
+            self.apply(host, generation, limit, slots);
+        }
+    }
+
+    /// Ends a host's life and starts a new incarnation that holds nothing yet.
+    pub fn restart(&mut self, host: usize, limit: QuotaLimit, slots: u32, generation: Generation) {
+        let wait = self.options.slots.term + self.options.slots.margin * 2;
+        let entry = &mut self.hosts[host];
+        entry.incarnation += 1;
+        entry.book = QuotaBook::new(self.options.clone(), &name(host), entry.incarnation);
+        entry.activate_at = Some(self.now + wait);
+        entry.paused_until = Duration::ZERO;
+        entry.dead = false;
+        entry.generation = 0;
+        self.apply(host, generation, limit, slots);
+    }
+
+    /// Confirms a generation once all hosts have it.
+    pub fn confirm(&mut self) {
+        let lowest = self.hosts.iter().map(|host| host.generation).min().unwrap();
+        for host in 0..self.hosts.len() {
+            let now = self.local(host);
+            self.hosts[host].book.confirm(now, lowest);
+        }
+    }
+
+    /// Lets time pass, delivers what is due and runs the hosts' upkeep.
+    pub fn step(&mut self, by: Duration) {
+        self.now += by;
+        for host in 0..self.hosts.len() {
+            let due = self.hosts[host]
+                .activate_at
+                .is_some_and(|at| at <= self.now);
+            if due && self.runs(host) {
+                let now = self.local(host);
+                self.hosts[host].book.activate(now);
+                self.hosts[host].activate_at = None;
+            }
+        }
+        self.deliver();
+        let upkeep = self.now >= self.upkeep_at;
+        for host in 0..self.hosts.len() {
+            if !self.runs(host) {
+                continue;
+            }
+            let now = self.local(host);
+            let peers: Vec<HostId> = (0..self.hosts.len())
+                .filter(|peer| *peer != host)
+                .map(name)
+                .collect();
+            let mut outgoing = self.hosts[host].book.asks(now, &peers, |_, _| true);
+            if upkeep {
+                outgoing.extend(self.hosts[host].book.upkeep(now));
+            }
+            self.send(host, outgoing);
+        }
+        if upkeep {
+            self.upkeep_at = self.now + ms(100);
+        }
+    }
+
+    pub fn send(&mut self, from: usize, outgoing: Vec<OutgoingLoan>) {
+        for loan in outgoing {
+            let to = index(&loan.peer);
+            self.messages_sent += 1;
+            let copies = 1 + u32::from(self.rng.u32(0..100) < self.faults.double_percent);
+            for _ in 0..copies {
+                if self.rng.u32(0..100) < self.faults.loss_percent {
+                    continue;
+                }
+                let (low, high) = self.faults.delay;
+                let delay = ms(self.rng.u64(low..=high));
+                self.net.push(Envelope {
+                    at: self.now + delay,
+                    from,
+                    to,
+                    message: loan.message.clone(),
+                });
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let mut later = Vec::new();
+        let mut due = Vec::new();
+        for envelope in std::mem::take(&mut self.net) {
+            let paused = self.hosts[envelope.to].paused_until > self.now;
+            if envelope.at > self.now || paused {
+                later.push(envelope);
+            } else {
+                due.push(envelope);
+            }
+        }
+        self.net = later;
+        for envelope in due {
+            let cut = self.hosts[envelope.from].cut != self.hosts[envelope.to].cut;
+            if cut || self.hosts[envelope.to].dead {
+                continue;
+            }
+            let now = self.local(envelope.to);
+            let peer = name(envelope.from);
+            let book = &mut self.hosts[envelope.to].book;
+            if let Some(answer) = book.handle(now, &peer, &envelope.message) {
+                self.send(envelope.to, vec![OutgoingLoan::new(&peer, answer)]);
+            }
+        }
+    }
+}
+
+pub fn name(host: usize) -> HostId {
+    format!("host-{host}")
+}
+
+fn index(name: &str) -> usize {
+    name.trim_start_matches("host-").parse().unwrap()
+}
+
+/// Checks that in every window no more was spent than the rate brings plus the burst. The level
+/// of a bucket that leaks at the rate exceeds the burst exactly when some window does.
+#[derive(Clone, Debug)]
+pub struct WindowCheck {
+    pub limit: QuotaLimit,
+    level: u128,
+    at: Duration,
+}
+
+impl WindowCheck {
+    pub fn new(limit: QuotaLimit, now: Duration) -> Self {
+        Self {
+            limit,
+            level: 0,
+            at: now,
+        }
+    }
+
+    pub fn spend(&mut self, now: Duration, tokens: u64) {
+        // Levels are kept in billionths of a micro-token, so that the leak is exact.
+        let leaked = u128::from(self.limit.rate) * (now - self.at).as_nanos();
+        self.at = now;
+        self.level = self.level.saturating_sub(leaked) + u128::from(tokens) * 1_000_000_000;
+        let burst = u128::from(self.limit.capacity) * 1_000_000_000;
+        assert!(
+            self.level <= burst,
+            "a window exceeds the limit by {} micro-tokens",
+            (self.level - burst) / 1_000_000_000
+        );
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins of the platform and of targets, load and scripted scenarios.
+
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/tools/src/lib.rs
@@ -0,0 +1,3 @@
+//! Command line tools of fighall.
+
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,3 @@
+//! Umbrella crate of fighall, a global traffic steering system.
+
+#![forbid(unsafe_code)]
