--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,3 +1,23 @@
 //! Leases on member ids in the platform's store.
+//!
+//! A member id carries base shares of every quota, so that two holders of one id would break
+//! caps. An id is therefore handed on only with evidence that its last holder is gone, and a
+//! holder that learns of its successor stops at once. See [`table::MemberTable`] for the rule.
+//!
+//! ```
+//! use fighall_membership::{lease::MemberLease, table::{Evidence, MemberTable, TableOptions}};
+//! use std::time::Duration;
+//!
+//! let mut table = MemberTable::new(TableOptions::default(), 0..3);
+//! // A lease that is renewed is never handed on.
+//! let lease = MemberLease::with_holder("a1", 7, "127.0.0.1:1");
+//! table.observe(Duration::ZERO, 0, 1, Some(&lease));
+//! let gone = |_: u32, _: &MemberLease| Evidence { unlisted: true, unheard: true };
+//! // Ids that were never held come first.
+//! assert_eq!(table.claimable(Duration::from_secs(1), "b1", &gone).unwrap().member, 1);
+//! ```
 
 #![forbid(unsafe_code)]
+
+pub mod lease;
+pub mod table;
--- /dev/null
+++ b/crates/membership/src/table.rs
@@ -0,0 +1,285 @@
+//! The membership table as one host sees it, and the rule by which an id is handed on.
+//!
+//! An id may be claimed when it was never held, or was released, or when all of this holds: its
+//! object has not changed for a whole lease time during which the store answered this host, and
+//! the platform's list no longer names the old holder or a new process serves on its address, and
+//! no live peer has heard the old incarnation in that time. A lapse alone is no evidence: during
+//! an outage of the store nobody can renew.
+
+use crate::lease::MemberLease;
+use fighall_core::{
+    ids::{BootTime, MemberId, Version},
+    value,
+};
+use std::{collections::BTreeMap, ops::Range, time::Duration};
+
+value! {
+    /// `TableOptions` are the bounds of leases.
+    pub struct TableOptions {
+        /// Time without a renewal after which a lease has lapsed.
+        pub lease_time: Duration,
+        /// Longest gap between answers of the store within a lease time that is still continuous.
+        pub answer_gap: Duration,
+    }
+}
+
+impl Default for TableOptions {
+    fn default() -> Self {
+        Self::with_lease_time(Duration::from_secs(6))
+    }
+}
+
+impl TableOptions {
+    /// Creates options for a lease time.
+    pub fn with_lease_time(lease_time: Duration) -> Self {
+        Self {
+            lease_time,
+            answer_gap: lease_time / 2,
+        }
+    }
+}
+
+value! {
+    /// `Evidence` is what a claimant knows of an old holder beside the store.
+    #[derive(Copy, Eq)]
+    pub struct Evidence {
+        /// The platform's list does not name the host, or a new process serves on its address.
+        pub unlisted: bool,
+        /// No live peer has heard the old incarnation for a lease time.
+        pub unheard: bool,
+    }
+}
+
+value! {
+    /// `ClaimPlan` is a claim that may be made now.
+    pub struct ClaimPlan {
+        /// Member id.
+        pub member: MemberId,
+        /// Version that the object must be at; none when it must not exist.
+        pub expected: Option<Version>,
+        /// Time after the claim for which the base shares must not be used yet.
+        pub wait_out: Duration,
+    }
+}
+
+#[derive(Debug, Clone)]
+struct SeenMember {
+    version: Version,
+    lease: MemberLease,
+    // Time for which the object has not changed while the store answered without a gap.
+    unchanged: Duration,
+}
+
+/// `MemberTable` is one host's view of the member ids of its region.
+#[derive(Debug)]
+pub struct MemberTable {
+    options: TableOptions,
+    members: Range<MemberId>,
+    seen: BTreeMap<MemberId, SeenMember>,
+    observed_at: Option<BootTime>,
+    complete: bool,
+}
+
+impl MemberTable {
+    /// Creates an empty view of the ids that this host may hold.
+    pub fn new(options: TableOptions, members: Range<MemberId>) -> Self {
+        Self {
+            options,
+            members,
+            seen: BTreeMap::new(),
+            observed_at: None,
+            complete: false,
+        }
+    }
+
+    /// Changes the bounds and ids; what was seen stays.
+    pub fn set_bounds(&mut self, options: TableOptions, members: Range<MemberId>) {
+        self.options = options;
+        self.members = members;
+    }
+
+    /// Notes that the store answered at `now`: everything unchanged since the last answer counts
+    /// as seen unchanged, unless the answers had a gap.
+    pub fn tick(&mut self, now: BootTime) {
+        let elapsed = now.saturating_sub(self.observed_at.unwrap_or(now));
+        self.observed_at = Some(now);
+        for member in self.seen.values_mut() {
+            if elapsed > self.options.answer_gap {
+                member.unchanged = Duration::ZERO;
+            } else {
+                member.unchanged += elapsed;
+            }
+        }
+    }
+
+    /// Takes in the state of one id's object.
+    pub fn observe(
+        &mut self,
+        now: BootTime,
+        member: MemberId,
+        version: Version,
+        lease: Option<&MemberLease>,
+    ) {
+        let _ = now;
+        let Some(lease) = lease else {
+            self.seen.remove(&member);
+            return;
+        };
+        let known = self.seen.get(&member);
+        if known.is_some_and(|known| known.version >= version) {
+            return;
+        }
+        let entry = SeenMember {
+            version,
+            lease: lease.clone(),
+            unchanged: Duration::ZERO,
+        };
+        self.seen.insert(member, entry);
+    }
+
+    /// Notes that the table holds every id's object.
+    pub fn set_complete(&mut self) {
+        self.complete = true;
+    }
+
+    /// Tells whether the table was listed at least once.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Gets the lease and version of an id.
+    pub fn get(&self, member: MemberId) -> Option<(&MemberLease, Version)> {
+        let seen = self.seen.get(&member)?;
+        Some((&seen.lease, seen.version))
+    }
+
+    /// Lists all leases that are held.
+    pub fn held(&self) -> Vec<(MemberId, &MemberLease)> {
+        let seen = self.seen.iter().filter(|(_, seen)| !seen.lease.released);
+        seen.map(|(member, seen)| (*member, &seen.lease)).collect()
+    }
+
+    /// Finds an id that `host` may claim now. Its own last id comes first, then ids never held or
+    /// released, then ids whose holder is gone by all evidence.
+    pub fn claimable(
+        &self,
+        now: BootTime,
+        host: &str,
+        evidence: &impl Fn(MemberId, &MemberLease) -> Evidence,
+    ) -> Option<ClaimPlan> {
+        let _ = now;
+        let own = self.members.clone().find(|member| {
+            let seen = self.seen.get(member);
+            seen.is_some_and(|seen| seen.lease.host == host)
+        });
+        let free = self.members.clone().find(|member| {
+            let seen = self.seen.get(member);
+            seen.is_none_or(|seen| seen.lease.released)
+        });
+        // The same host name at a new incarnation is a new process in place of the old one.
+        if let Some(plan) = own.or(free).map(|member| self.plan(member)) {
+            return Some(plan);
+        }
+        for member in self.members.clone() {
+            let Some(seen) = self.seen.get(&member) else {
+                continue;
+            };
+            if seen.unchanged < self.options.lease_time {
+                continue;
+            }
+            let evidence = evidence(member, &seen.lease);
+            if evidence.unlisted && evidence.unheard {
+                return Some(self.plan(member));
+            }
+        }
+        None
+    }
+
+    fn plan(&self, member: MemberId) -> ClaimPlan {
+        let seen = self.seen.get(&member);
+        let wait_out = seen.map_or(0, |seen| seen.lease.wait_out_ms);
+        ClaimPlan {
+            member,
+            expected: seen.map(|seen| seen.version),
+            wait_out: Duration::from_millis(wait_out),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SECOND: Duration = Duration::from_secs(1);
+    const GONE: Evidence = Evidence {
+        unlisted: true,
+        unheard: true,
+    };
+
+    fn held_table() -> MemberTable {
+        let mut table = MemberTable::new(TableOptions::default(), 0..1);
+        let mut lease = MemberLease::with_holder("a", 1, "127.0.0.1:1");
+        lease.wait_out_ms = 4_000;
+        table.observe(SECOND, 0, 5, Some(&lease));
+        table.set_complete();
+        table.tick(SECOND);
+        table
+    }
+
+    fn tick_seconds(table: &mut MemberTable, seconds: Range<u32>) {
+        for second in seconds {
+            table.tick(SECOND * second);
+        }
+    }
+
+    #[test]
+    fn an_outage_of_the_store_hands_on_nothing() {
+        let mut table = held_table();
+        // The store is down for an hour and then answers once: nobody could renew meanwhile.
+        table.tick(SECOND * 3_600);
+        assert_eq!(table.claimable(SECOND * 3_600, "b", &|_, _| GONE), None);
+        tick_seconds(&mut table, 3_601..3_606);
+        assert_eq!(table.claimable(SECOND * 3_605, "b", &|_, _| GONE), None);
+        table.tick(SECOND * 3_606);
+        let plan = table.claimable(SECOND * 3_606, "b", &|_, _| GONE).unwrap();
+        assert_eq!(plan.expected, Some(5));
+        assert_eq!(plan.wait_out, SECOND * 4);
+    }
+
+    #[test]
+    fn each_evidence_is_needed() {
+        let mut table = held_table();
+        tick_seconds(&mut table, 2..20);
+        let now = SECOND * 20;
+        for evidence in [(false, true), (true, false), (false, false)] {
+            let evidence = Evidence {
+                unlisted: evidence.0,
+                unheard: evidence.1,
+            };
+            assert_eq!(table.claimable(now, "b", &|_, _| evidence), None);
+        }
+        assert!(table.claimable(now, "b", &|_, _| GONE).is_some());
+    }
+
+    #[test]
+    fn a_renewal_starts_the_time_again() {
+        let mut table = held_table();
+        tick_seconds(&mut table, 2..7);
+        let lease = MemberLease::with_holder("a", 1, "127.0.0.1:1");
+        table.observe(SECOND * 7, 0, 6, Some(&lease));
+        tick_seconds(&mut table, 7..10);
+        assert_eq!(table.claimable(SECOND * 10, "b", &|_, _| GONE), None);
+    }
+
+    #[test]
+    fn a_new_process_of_the_same_host_takes_its_own_id_back() {
+        let table = held_table();
+        let none = Evidence {
+            unlisted: false,
+            unheard: false,
+        };
+        let plan = table.claimable(SECOND, "a", &|_, _| none).unwrap();
+        assert_eq!(plan.member, 0);
+        assert_eq!(plan.wait_out, SECOND * 4);
+    }
+}
--- /dev/null
+++ b/crates/peer/src/dial.rs
@@ -0,0 +1,232 @@
+//! The task of one dialled link: connect, hello, then heartbeats and messages until it breaks.
+
+use crate::{
+    codec::MessageLink,
+    errors::{Error, Result},
+    mesh::{PeerMesh, PeerNotice},
+    message::{LinkAck, LinkChallenge, LinkHello, LinkWelcome, PeerMessage},
+    outbox::PeerOutbox,
+    proof,
+    view::LinkState,
+};
+use compio::net::TcpStream;
+use fighall_core::{
+    clock::boot_time,
+    ids::{BootTime, HostId, Incarnation},
+};
+use futures_util::{FutureExt, pin_mut, select_biased};
+use std::{cell::RefCell, collections::VecDeque, future::Future, rc::Rc, time::Duration};
+
+/// Shortest pause before a link is dialled anew.
+const REDIAL_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause before a link is dialled anew.
+const REDIAL_LIMIT: Duration = Duration::from_secs(1);
+/// Most messages that go out before acknowledgements are read.
+const BATCH_LIMIT: usize = 64;
+
+/// Keeps the link to a peer up until the peer is no longer wanted.
+pub(crate) async fn keep_link(mesh: Rc<PeerMesh>, host: HostId, outbox: Rc<RefCell<PeerOutbox>>) {
+    let mut pause = REDIAL_PAUSE;
+    let mut last_incarnation = None;
+    loop {
+        let wanted = match mesh.peers.borrow().get(&host) {
+            Some(entry) => Rc::ptr_eq(&entry.outbox, &outbox),
+            None => false,
+        };
+        if !wanted {
+            return;
+        }
+        let opened = open(&mesh, &host).await;
+        match opened {
+            Ok((link, welcome)) => {
+                pause = REDIAL_PAUSE;
+                let known = last_incarnation.replace(welcome.incarnation);
+                restart_outbox(&outbox, known, welcome.incarnation);
+                mesh.note_heard(&host, welcome.incarnation, boot_time());
+                mesh.set_link(&host, LinkState::Up, "");
+                let ended = run(&mesh, &host, link, &outbox, welcome.incarnation).await;
+                if let Err(error) = ended {
+                    mesh.set_link(&host, LinkState::Dialling, &error.to_string());
+                }
+            }
+            Err(error) => mesh.set_link(&host, LinkState::Down, &error.to_string()),
+        }
+        compio::time::sleep(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+        pause = (pause * 2).min(REDIAL_LIMIT);
+    }
+}
+
+fn restart_outbox(
+    outbox: &RefCell<PeerOutbox>,
+    known: Option<Incarnation>,
+    incarnation: Incarnation,
+) {
+    let mut outbox = outbox.borrow_mut();
+    if known.is_some_and(|known| known != incarnation) {
+        outbox.clear();
+    }
+    outbox.restart();
+}
+
+async fn open(mesh: &PeerMesh, host: &str) -> Result<(MessageLink, LinkWelcome)> {
+    let bound = mesh.options.silence;
+    within(bound, open_unbounded(mesh, host)).await
+}
+
+async fn open_unbounded(mesh: &PeerMesh, host: &str) -> Result<(MessageLink, LinkWelcome)> {
+    let options = &mesh.options;
+    let peer = mesh.address_of(host).ok_or(Error::Closed)?;
+    let tcp = TcpStream::connect(peer.address.as_str())
+        .await
+        .map_err(Error::link)?;
+    tcp.set_nodelay(true).map_err(Error::link)?;
+    let mut link = MessageLink::new_dialled(tcp).await?;
+    let challenge: LinkChallenge = link.receive().await?;
+    let nonce = proof::new_nonce().map_err(Error::link)?;
+    let hello = LinkHello {
+        host: options.host.clone(),
+        incarnation: options.incarnation,
+        region: options.region.clone(),
+        zone: options.zone.clone(),
+        proof: proof::proof(&options.secret, "dial", &challenge.nonce, &options.host),
+        nonce: nonce.clone(),
+    };
+    link.send(&hello).await?;
+    let welcome: LinkWelcome = link.receive().await?;
+    let proved = proof::verify(
+        &options.secret,
+        "accept",
+        &nonce,
+        &welcome.host,
+        &welcome.proof,
+    );
+    if !proved {
+        return Err(Error::Proof);
+    }
+    if welcome.host != host {
+        return Err(Error::Unexpected);
+    }
+    Ok((link, welcome))
+}
+
+struct SentHeartbeat {
+    sequence: u64,
+    at: BootTime,
+}
+
+async fn run(
+    mesh: &PeerMesh,
+    host: &str,
+    mut link: MessageLink,
+    outbox: &RefCell<PeerOutbox>,
+    incarnation: Incarnation,
+) -> Result<()> {
+    let options = &mesh.options;
+    let mut heartbeat_at = boot_time();
+    let mut heartbeats: VecDeque<SentHeartbeat> = VecDeque::new();
+    let mut heard_at = boot_time();
+    loop {
+        let now = boot_time();
+        if now.saturating_sub(heard_at) > options.silence {
+            return Err(Error::Silent {
+                millis: options.silence.as_millis(),
+            });
+        }
+        if now >= heartbeat_at {
+            heartbeat_at = now + options.heartbeat;
+            let message = PeerMessage::Heartbeat(mesh.state());
+            outbox.borrow_mut().push(mesh.ring.stamp(), message);
+        }
+        within(
+            options.silence,
+            send_batch(&mut link, outbox, &mut heartbeats),
+        )
+        .await?;
+        let pause = heartbeat_at.saturating_sub(boot_time());
+        if let Some(ack) = wait(&mut link, outbox, pause).await? {
+            heard_at = boot_time();
+            mesh.note_heard(host, incarnation, heard_at);
+            mesh.ring.observe(ack.stamp);
+            outbox.borrow_mut().acknowledge(ack.sequence);
+            note_ack(mesh, host, &ack, &mut heartbeats);
+        }
+        // The entry is gone when the peer is no longer wanted.
+        if mesh.address_of(host).is_none() {
+            return Err(Error::Closed);
+        }
+    }
+}
+
+async fn send_batch(
+    link: &mut MessageLink,
+    outbox: &RefCell<PeerOutbox>,
+    heartbeats: &mut VecDeque<SentHeartbeat>,
+) -> Result<()> {
+    for _ in 0..BATCH_LIMIT {
+        let next = outbox.borrow_mut().next_unsent();
+        let Some(envelope) = next else {
+            break;
+        };
+        if matches!(envelope.message, PeerMessage::Heartbeat(_)) {
+            heartbeats.push_back(SentHeartbeat {
+                sequence: envelope.sequence,
+                at: boot_time(),
+            });
+        }
+        link.feed(&envelope).await?;
+    }
+    link.flush().await
+}
+
+// Waits for an acknowledgement, for something to send, or for the pause to pass.
+async fn wait(
+    link: &mut MessageLink,
+    outbox: &RefCell<PeerOutbox>,
+    pause: Duration,
+) -> Result<Option<LinkAck>> {
+    let (listener, ready) = {
+        let outbox = outbox.borrow();
+        (outbox.listen(), outbox.has_unsent())
+    };
+    let pause = if ready { Duration::ZERO } else { pause };
+    let received = link.receive::<LinkAck>().fuse();
+    let added = listener.fuse();
+    let elapsed = compio::time::sleep(pause).fuse();
+    pin_mut!(received, added, elapsed);
+    select_biased! {
+        ack = received => ack.map(Some),
+        () = added => Ok(None),
+        () = elapsed => Ok(None),
+    }
+}
+
+fn note_ack(mesh: &PeerMesh, host: &str, ack: &LinkAck, heartbeats: &mut VecDeque<SentHeartbeat>) {
+    let mut answered = None;
+    while heartbeats
+        .front()
+        .is_some_and(|first| first.sequence <= ack.sequence)
+    {
+        answered = heartbeats.pop_front();
+    }
+    let Some(heartbeat) = answered else {
+        return;
+    };
+    mesh.note_round_trip(host, boot_time().saturating_sub(heartbeat.at));
+    mesh.notify(PeerNotice::Confirmed {
+        peer: host.to_owned(),
+        mirrors: ack.mirrors.clone(),
+        sent_at: heartbeat.at,
+    });
+}
+
+pub(crate) async fn within<T>(
+    bound: Duration,
+    operation: impl Future<Output = Result<T>>,
+) -> Result<T> {
+    match compio::time::timeout(bound, operation).await {
+        Ok(result) => result,
+        Err(_) => Err(Error::Silent {
+            millis: bound.as_millis(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/peer/src/mesh.rs
@@ -0,0 +1,356 @@
+//! The mesh: all links of a host, the states of its peers, and the inbox of their messages.
+
+use crate::{
+    dial,
+    message::{HostState, PeerMessage},
+    outbox::PeerOutbox,
+    view::{LinkState, PeerAddress, PeerView},
+};
+use event_listener::Event;
+use fighall_core::{
+    clock::boot_time,
+    event::{EventKind, EventSubject},
+    ids::{BootTime, HostId, Incarnation, RegionId, ZoneId},
+    ring::EventRing,
+    secret::SecretText,
+    value,
+};
+use fighall_kernel::kernel::MicroKernel;
+use fighall_platform::mirror::MirrorState;
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+
+value! {
+    /// `MeshOptions` are a host's identity and the bounds of its links.
+    pub struct MeshOptions {
+        /// This host.
+        pub host: HostId,
+        /// Its incarnation.
+        pub incarnation: Incarnation,
+        /// Its region.
+        pub region: RegionId,
+        /// Its availability zone.
+        pub zone: ZoneId,
+        /// The fleet's secret.
+        pub secret: SecretText,
+        /// Interval of heartbeats.
+        pub heartbeat: Duration,
+        /// Silence after which a link is dropped.
+        pub silence: Duration,
+        /// Most messages queued to one peer.
+        pub queue_limit: usize,
+        /// Most messages queued in the inbox.
+        pub inbox_limit: usize,
+    }
+}
+
+impl MeshOptions {
+    /// Creates options with the usual bounds.
+    pub fn with_host(host: &str, incarnation: Incarnation, secret: SecretText) -> Self {
+        Self {
+            host: host.to_owned(),
+            incarnation,
+            region: String::new(),
+            zone: String::new(),
+            secret,
+            heartbeat: Duration::from_millis(300),
+            silence: Duration::from_millis(1_500),
+            queue_limit: 4_096,
+            inbox_limit: 65_536,
+        }
+    }
+}
+
+value! {
+    /// `PeerNotice` is an item of the inbox.
+    pub enum PeerNotice {
+        /// A message of a peer.
+        Received {
+            /// Sender.
+            peer: HostId,
+            /// Message.
+            message: PeerMessage,
+        },
+        /// A peer told how far its mirrors are. It was no earlier than `sent_at`.
+        Confirmed {
+            /// Peer.
+            peer: HostId,
+            /// Its mirrors.
+            mirrors: Vec<MirrorState>,
+            /// When the heartbeat was sent that it answers.
+            sent_at: BootTime,
+        },
+        /// A link came up.
+        Up {
+            /// Peer.
+            peer: HostId,
+        },
+        /// A link went down.
+        Down {
+            /// Peer.
+            peer: HostId,
+        },
+    }
+}
+
+pub(crate) struct PeerEntry {
+    pub(crate) view: PeerView,
+    pub(crate) outbox: Rc<RefCell<PeerOutbox>>,
+}
+
+pub(crate) struct HeardSender {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) sequence: u64,
+}
+
+/// `PeerMesh` holds every link of one host.
+pub struct PeerMesh {
+    pub(crate) options: MeshOptions,
+    pub(crate) kernel: Rc<MicroKernel>,
+    pub(crate) ring: Rc<EventRing>,
+    pub(crate) peers: RefCell<BTreeMap<HostId, PeerEntry>>,
+    pub(crate) heard: RefCell<BTreeMap<HostId, HeardSender>>,
+    state: RefCell<HostState>,
+    marks: RefCell<BTreeMap<String, MirrorMark>>,
+    inbox: RefCell<VecDeque<PeerNotice>>,
+    inbox_changed: Event,
+}
+
+#[derive(Clone, Debug)]
+struct MirrorMark {
+    version: u64,
+    confirmed_at: Option<BootTime>,
+}
+
+impl std::fmt::Debug for PeerMesh {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PeerMesh")
+            .field("options", &self.options)
+            .finish_non_exhaustive()
+    }
+}
+
+impl PeerMesh {
+    /// Creates a mesh without links.
+    pub fn new(options: MeshOptions, kernel: Rc<MicroKernel>, ring: Rc<EventRing>) -> Rc<Self> {
+        Rc::new(Self {
+            options,
+            kernel,
+            ring,
+            peers: RefCell::new(BTreeMap::new()),
+            heard: RefCell::new(BTreeMap::new()),
+            state: RefCell::new(HostState::default()),
+            marks: RefCell::new(BTreeMap::new()),
+            inbox: RefCell::new(VecDeque::new()),
+            inbox_changed: Event::new(),
+        })
+    }
+
+    /// Sets the peers to which links are kept. New ones are dialled; links to others end.
+    pub fn set_peers(self: &Rc<Self>, wanted: &[PeerAddress]) {
+        let mut started = Vec::new();
+        {
+            let mut peers = self.peers.borrow_mut();
+            peers.retain(|host, entry| {
+                let kept = wanted.iter().any(|peer| peer.host == *host);
+                // A link task ends when it finds its entry gone.
+                if !kept {
+                    entry.outbox.borrow_mut().clear();
+                }
+                kept
+            });
+            for address in wanted {
+                if address.host == self.options.host {
+                    continue;
+                }
+                if let Some(entry) = peers.get_mut(&address.host) {
+                    entry.view.peer = address.clone();
+                    continue;
+                }
+                let outbox = PeerOutbox::new(self.options.queue_limit);
+                let outbox = Rc::new(RefCell::new(outbox));
+                let view = new_view(address);
+                let entry = PeerEntry {
+                    view,
+                    outbox: Rc::clone(&outbox),
+                };
+                peers.insert(address.host.clone(), entry);
+                started.push((address.host.clone(), outbox));
+            }
+        }
+        for (host, outbox) in started {
+            let mesh = Rc::clone(self);
+            self.kernel
+                .spawn_service(dial::keep_link(mesh, host, outbox));
+        }
+    }
+
+    /// Queues a message to a peer. Returns false when the peer is unknown or its queue is full.
+    pub fn send(&self, peer: &str, message: PeerMessage) -> bool {
+        let stamp = self.ring.stamp();
+        let outbox = match self.peers.borrow().get(peer) {
+            Some(entry) => Rc::clone(&entry.outbox),
+            None => return false,
+        };
+        outbox.borrow_mut().push(stamp, message)
+    }
+
+    /// Queues a message to all peers.
+    pub fn broadcast(&self, message: &PeerMessage) {
+        let hosts: Vec<_> = self.peers.borrow().keys().cloned().collect();
+        for host in hosts {
+            self.send(&host, message.clone());
+        }
+    }
+
+    /// Gets what is known of all peers.
+    pub fn views(&self) -> Vec<PeerView> {
+        let mut views = Vec::new();
+        for entry in self.peers.borrow().values() {
+            let mut view = entry.view.clone();
+            view.dropped = entry.outbox.borrow().dropped();
+            views.push(view);
+        }
+        views
+    }
+
+    /// Gets what is known of one peer.
+    pub fn view(&self, peer: &str) -> Option<PeerView> {
+        Some(self.peers.borrow().get(peer)?.view.clone())
+    }
+
+    /// Runs `read` over the views without copying them.
+    pub fn with_views<T>(&self, read: impl FnOnce(&mut dyn Iterator<Item = &PeerView>) -> T) -> T {
+        let peers = self.peers.borrow();
+        read(&mut peers.values().map(|entry| &entry.view))
+    }
+
+    /// Sets the state that the next heartbeats carry.
+    pub fn set_state(&self, state: HostState) {
+        *self.state.borrow_mut() = state;
+    }
+
+    /// Gets the state that heartbeats carry.
+    pub fn state(&self) -> HostState {
+        self.state.borrow().clone()
+    }
+
+    /// Sets how far a mirror of this host is, for answers to heartbeats.
+    pub fn set_mark(&self, kind: &str, version: u64, confirmed_at: Option<BootTime>) {
+        let mark = MirrorMark {
+            version,
+            confirmed_at,
+        };
+        self.marks.borrow_mut().insert(kind.to_owned(), mark);
+    }
+
+    /// Waits for the next item of the inbox.
+    pub async fn next_notice(&self) -> PeerNotice {
+        loop {
+            let listener = self.inbox_changed.listen();
+            if let Some(notice) = self.inbox.borrow_mut().pop_front() {
+                return notice;
+            }
+            listener.await;
+        }
+    }
+
+    pub(crate) fn mirror_states(&self) -> Vec<MirrorState> {
+        let now = boot_time();
+        let mut states = Vec::new();
+        for (kind, mark) in self.marks.borrow().iter() {
+            let age = mark.confirmed_at.map(|at| now.saturating_sub(at));
+            let age_ms = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+            states.push(MirrorState {
+                kind: kind.clone(),
+                version: mark.version,
+                age_ms: age_ms.map(|age| age + 1),
+            });
+        }
+        states
+    }
+
+    pub(crate) fn notify(&self, notice: PeerNotice) {
+        let mut inbox = self.inbox.borrow_mut();
+        if inbox.len() >= self.options.inbox_limit {
+            return;
+        }
+        inbox.push_back(notice);
+        self.inbox_changed.notify(1);
+    }
+
+    pub(crate) fn set_link(&self, peer: &str, link: LinkState, cause: &str) {
+        let changed = {
+            let mut peers = self.peers.borrow_mut();
+            let Some(entry) = peers.get_mut(peer) else {
+                return;
+            };
+            let before = entry.view.link;
+            entry.view.link = link;
+            before != link
+        };
+        if !changed {
+            return;
+        }
+        let subject = EventSubject {
+            peer: Some(peer.to_owned()),
+            ..EventSubject::default()
+        };
+        let peer = peer.to_owned();
+        if link == LinkState::Up {
+            self.ring.record(subject, EventKind::PeerUp);
+            self.notify(PeerNotice::Up { peer });
+            return;
+        }
+        let kind = EventKind::PeerDown {
+            cause: cause.to_owned(),
+        };
+        self.ring.record(subject, kind);
+        self.notify(PeerNotice::Down { peer });
+    }
+
+    pub(crate) fn note_heard(&self, peer: &str, incarnation: Incarnation, now: BootTime) {
+        let mut peers = self.peers.borrow_mut();
+        if let Some(entry) = peers.get_mut(peer) {
+            entry.view.heard_at = Some(now);
+            entry.view.heard_incarnation = Some(incarnation);
+        }
+    }
+
+    pub(crate) fn note_state(&self, peer: &str, state: &HostState) {
+        if let Some(entry) = self.peers.borrow_mut().get_mut(peer) {
+            entry.view.state = state.clone();
+        }
+    }
+
+    pub(crate) fn note_round_trip(&self, peer: &str, elapsed: Duration) {
+        if let Some(entry) = self.peers.borrow_mut().get_mut(peer) {
+            let known = entry.view.round_trip;
+            entry.view.round_trip = if known.is_zero() {
+                elapsed
+            } else {
+                (known * 7 + elapsed) / 8
+            };
+        }
+    }
+
+    pub(crate) fn address_of(&self, peer: &str) -> Option<PeerAddress> {
+        Some(self.peers.borrow().get(peer)?.view.peer.clone())
+    }
+}
+
+fn new_view(address: &PeerAddress) -> PeerView {
+    PeerView {
+        peer: address.clone(),
+        link: LinkState::Dialling,
+        heard_incarnation: None,
+        heard_at: None,
+        state: HostState::default(),
+        round_trip: Duration::ZERO,
+        dropped: 0,
+    }
+}
--- /dev/null
+++ b/crates/peer/src/outbox.rs
@@ -0,0 +1,131 @@
+//! The bounded queue of messages to one peer, with what was sent and not yet acknowledged.
+
+use crate::message::{PeerEnvelope, PeerMessage};
+use event_listener::{Event, EventListener};
+use fighall_core::clock::HybridStamp;
+use std::collections::VecDeque;
+
+/// `PeerOutbox` keeps messages until the peer acknowledges them.
+#[derive(Debug)]
+pub struct PeerOutbox {
+    limit: usize,
+    next: u64,
+    // Messages in the order of their numbers; the first `sent` of them went out on this link.
+    queue: VecDeque<PeerEnvelope>,
+    sent: usize,
+    dropped: u64,
+    changed: Event,
+}
+
+impl PeerOutbox {
+    /// Creates an empty queue of at most `limit` messages.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            next: 0,
+            queue: VecDeque::new(),
+            sent: 0,
+            dropped: 0,
+            changed: Event::new(),
+        }
+    }
+
+    /// Adds a message. Returns false when there is no room and the message was dropped.
+    pub fn push(&mut self, stamp: HybridStamp, message: PeerMessage) -> bool {
+        if self.queue.len() >= self.limit {
+            self.dropped += 1;
+            return false;
+        }
+        self.next += 1;
+        self.queue.push_back(PeerEnvelope {
+            sequence: self.next,
+            stamp,
+            message,
+        });
+        self.changed.notify(usize::MAX);
+        true
+    }
+
+    /// Takes the next message to send; it stays queued until it is acknowledged.
+    pub fn next_unsent(&mut self) -> Option<PeerEnvelope> {
+        let envelope = self.queue.get(self.sent)?.clone();
+        self.sent += 1;
+        Some(envelope)
+    }
+
+    /// Tells whether there is something to send.
+    pub fn has_unsent(&self) -> bool {
+        self.sent < self.queue.len()
+    }
+
+    /// Drops what the peer has received.
+    pub fn acknowledge(&mut self, sequence: u64) {
+        while self
+            .queue
+            .front()
+            .is_some_and(|first| first.sequence <= sequence)
+        {
+            self.queue.pop_front();
+            self.sent = self.sent.saturating_sub(1);
+        }
+    }
+
+    /// Starts a new link: what was not acknowledged goes out again, except heartbeats, which the
+    /// next one replaces.
+    pub fn restart(&mut self) {
+        self.sent = 0;
+        self.queue
+            .retain(|envelope| !matches!(envelope.message, PeerMessage::Heartbeat(_)));
+    }
+
+    /// Forgets all messages: the peer is another incarnation than they were meant for.
+    pub fn clear(&mut self) {
+        self.queue.clear();
+        self.sent = 0;
+    }
+
+    /// Gets the number of messages dropped for want of room.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// Gets a listener for the next added message.
+    pub fn listen(&self) -> EventListener {
+        self.changed.listen()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn stamp() -> HybridStamp {
+        HybridStamp {
+            millis: 0,
+            counter: 0,
+        }
+    }
+
+    fn request(after: u64) -> PeerMessage {
+        PeerMessage::MirrorRequest {
+            kind: "keys".to_owned(),
+            after,
+        }
+    }
+
+    #[test]
+    fn the_queue_is_bounded_and_repeats_what_was_not_acknowledged() {
+        let mut outbox = PeerOutbox::new(3);
+        for after in 0..5 {
+            outbox.push(stamp(), request(after));
+        }
+        assert_eq!(outbox.dropped(), 2);
+        assert_eq!(outbox.next_unsent().unwrap().sequence, 1);
+        assert_eq!(outbox.next_unsent().unwrap().sequence, 2);
+        outbox.acknowledge(1);
+        assert_eq!(outbox.next_unsent().unwrap().sequence, 3);
+        assert!(!outbox.has_unsent());
+        outbox.restart();
+        assert_eq!(outbox.next_unsent().unwrap().sequence, 2);
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod client;
 pub mod errors;
 pub mod mapping;
+pub mod mirror;
 pub mod object;
 pub mod stats;
 pub mod watch;
--- a/crates/quota/tests/support/mod.rs
+++ b/crates/quota/tests/support/mod.rs
@@ -1,6 +1,11 @@
 //! A small fake of a fleet: books, clocks with offsets, and a network that loses, doubles and
 //! reorders messages.
-#![allow(dead_code, missing_docs, unreachable_pub, reason = "each test file uses a part")]
+#![allow(
+    dead_code,
+    missing_docs,
+    unreachable_pub,
+    reason = "each test file uses a part"
+)]
 
 use fastrand::Rng;
 use fighall_core::ids::{BootTime, Generation, HostId};
--- /dev/null
+++ b/crates/route/src/fair.rs
@@ -0,0 +1,228 @@
+//! Fair queue across organisations: deficit round robin (Shreedhar and Varghese, 1995) with one
+//! unit a request.
+
+use fighall_core::ids::{BootTime, OrgId};
+use std::collections::{BTreeMap, VecDeque};
+
+#[derive(Debug)]
+struct QueuedItem<T> {
+    deadline: BootTime,
+    value: T,
+}
+
+#[derive(Debug)]
+struct OrgQueue<T> {
+    weight: u64,
+    deficit: u64,
+    items: VecDeque<QueuedItem<T>>,
+}
+
+/// `FairQueue` holds waiting requests and hands them out fairly.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    limit: usize,
+    length: usize,
+    queues: BTreeMap<OrgId, OrgQueue<T>>,
+    turn: VecDeque<OrgId>,
+}
+
+impl<T> FairQueue<T> {
+    /// Creates a queue of at most `limit` requests.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            length: 0,
+            queues: BTreeMap::new(),
+            turn: VecDeque::new(),
+        }
+    }
+
+    /// Gets the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Tells whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Gets the number of requests that are served before a new one of `organisation`, by the
+    /// shares of the organisations that wait.
+    pub fn ahead(&self, organisation: &str, weight: u64) -> usize {
+        let weight = weight.max(1);
+        let own = self.queues.get(organisation);
+        let own = own.map_or(0, |queue| queue.items.len());
+        let rounds = (u64::try_from(own).unwrap_or(0) / weight) + 1;
+        let mut ahead = own;
+        for (name, queue) in &self.queues {
+            if name == organisation {
+                continue;
+            }
+            let served = usize::try_from(rounds * queue.weight).unwrap_or(usize::MAX);
+            ahead += queue.items.len().min(served);
+        }
+        ahead
+    }
+
+    /// Adds a request of an organisation. When the queue is full, the newest request of the
+    /// organisation with the longest queue for its weight makes room, unless that is the new one.
+    ///
+    /// # Errors
+    ///
+    /// Gives back the value that found no room.
+    pub fn push(
+        &mut self,
+        organisation: &str,
+        weight: u64,
+        deadline: BootTime,
+        value: T,
+    ) -> Result<Option<T>, T> {
+        let mut evicted = None;
+        if self.length >= self.limit {
+            match self.evict(organisation, weight.max(1)) {
+                Some(loser) => evicted = Some(loser),
+                None => return Err(value),
+            }
+        }
+        let queue = self
+            .queues
+            .entry(organisation.to_owned())
+            .or_insert_with(|| OrgQueue {
+                weight: 1,
+                deficit: 0,
+                items: VecDeque::new(),
+            });
+        queue.weight = weight.max(1);
+        if queue.items.is_empty() {
+            self.turn.push_back(organisation.to_owned());
+        }
+        queue.items.push_back(QueuedItem { deadline, value });
+        self.length += 1;
+        Ok(evicted)
+    }
+
+    fn evict(&mut self, organisation: &str, weight: u64) -> Option<T> {
+        let load = |length: usize, weight: u64| {
+            u64::try_from(length).unwrap_or(u64::MAX) * 1_000 / weight.max(1)
+        };
+        let own = self
+            .queues
+            .get(organisation)
+            .map_or(0, |queue| queue.items.len());
+        let own = load(own + 1, weight);
+        let longest = self
+            .queues
+            .iter()
+            .max_by_key(|(_, queue)| load(queue.items.len(), queue.weight));
+        let (name, queue) = longest?;
+        if name == organisation || load(queue.items.len(), queue.weight) <= own {
+            return None;
+        }
+        let name = name.clone();
+        let item = self.queues.get_mut(&name)?.items.pop_back()?;
+        self.length -= 1;
+        self.drop_if_empty(&name);
+        Some(item.value)
+    }
+
+    /// Takes the next request. Requests whose deadline has passed are dropped on the way into
+    /// `expired`.
+    pub fn pop(&mut self, now: BootTime, expired: &mut Vec<T>) -> Option<T> {
+        while let Some(name) = self.turn.front().cloned() {
+            let Some(queue) = self.queues.get_mut(&name) else {
+                self.turn.pop_front();
+                continue;
+            };
+            if queue.deficit == 0 {
+                queue.deficit = queue.weight;
+            }
+            let Some(item) = queue.items.pop_front() else {
+                self.drop_if_empty(&name);
+                continue;
+            };
+            self.length -= 1;
+            let alive = item.deadline > now;
+            if alive {
+                queue.deficit -= 1;
+                if queue.deficit == 0 {
+                    self.turn.rotate_left(1);
+                }
+            }
+            self.drop_if_empty(&name);
+            if alive {
+                return Some(item.value);
+            }
+            expired.push(item.value);
+        }
+        None
+    }
+
+    /// Removes the requests that `matches` picks, such as those whose callers left.
+    pub fn remove(&mut self, matches: impl Fn(&T) -> bool) {
+        for queue in self.queues.values_mut() {
+            queue.items.retain(|item| !matches(&item.value));
+        }
+        self.length = self.queues.values().map(|queue| queue.items.len()).sum();
+        let names: Vec<_> = self.queues.keys().cloned().collect();
+        for name in names {
+            self.drop_if_empty(&name);
+        }
+    }
+
+    fn drop_if_empty(&mut self, name: &str) {
+        let empty = self
+            .queues
+            .get(name)
+            .is_some_and(|queue| queue.items.is_empty());
+        if empty {
+            self.queues.remove(name);
+            self.turn.retain(|waiting| waiting != name);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    const LATER: Duration = Duration::from_secs(10);
+
+    fn drain(queue: &mut FairQueue<char>, count: usize) -> String {
+        let mut expired = Vec::new();
+        let mut text = String::new();
+        for _ in 0..count {
+            text.extend(queue.pop(Duration::ZERO, &mut expired));
+        }
+        text
+    }
+
+    #[test]
+    fn service_follows_weights_not_queue_lengths() {
+        let mut queue = FairQueue::new(100);
+        for _ in 0..30 {
+            queue.push("a", 1, LATER, 'a').unwrap();
+        }
+        for _ in 0..4 {
+            queue.push("b", 2, LATER, 'b').unwrap();
+        }
+        assert_eq!(queue.ahead("c", 1), 3);
+        assert_eq!(drain(&mut queue, 8), "abbabbaa");
+        assert_eq!(queue.len(), 26);
+    }
+
+    #[test]
+    fn a_full_queue_evicts_the_longest_and_expired_ones_are_dropped() {
+        let mut queue = FairQueue::new(4);
+        for _ in 0..4 {
+            queue.push("a", 1, Duration::from_secs(1), 'a').unwrap();
+        }
+        assert_eq!(queue.push("a", 1, LATER, 'x'), Err('x'));
+        assert_eq!(queue.push("b", 1, LATER, 'b'), Ok(Some('a')));
+        let mut expired = Vec::new();
+        assert_eq!(queue.pop(Duration::from_secs(2), &mut expired), Some('b'));
+        assert_eq!(expired.len(), 3);
+        assert!(queue.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/route/src/health.rs
@@ -0,0 +1,120 @@
+//! Health of a target from the results of requests, with probes as a second source.
+//!
+//! Failures in a row eject a target for a time that doubles with each ejection. A probe may bring
+//! an ejected target back early and may eject an idle one, but a lying or silent probe never
+//! outweighs requests that succeed.
+
+use fighall_core::{ids::BootTime, value};
+use std::time::Duration;
+
+/// Failures in a row that eject a target.
+const EJECT_AFTER: u32 = 3;
+/// Shortest ejection.
+const EJECT_TIME: Duration = Duration::from_secs(1);
+/// Longest ejection.
+const EJECT_LIMIT: Duration = Duration::from_secs(30);
+/// Time for which a request's success outweighs failed probes.
+const TRUST_TIME: Duration = Duration::from_secs(5);
+
+value! {
+    /// `TargetHealth` is what is known of one target's health.
+    #[derive(Default)]
+    pub struct TargetHealth {
+        failures: u32,
+        probe_failures: u32,
+        ejections: u32,
+        ejected_until: Option<BootTime>,
+        succeeded_at: Option<BootTime>,
+    }
+}
+
+impl TargetHealth {
+    /// Notes a request that the target served. Returns whether the target came back by it.
+    pub fn note_success(&mut self, now: BootTime) -> bool {
+        self.failures = 0;
+        self.succeeded_at = Some(now);
+        let returned = self.ejected_until.take().is_some();
+        if !returned {
+            self.ejections = 0;
+        }
+        returned
+    }
+
+    /// Notes a request that the target failed. Returns whether it was ejected by it.
+    pub fn note_failure(&mut self, now: BootTime) -> bool {
+        self.failures += 1;
+        if self.failures < EJECT_AFTER || self.is_ejected(now) {
+            return false;
+        }
+        self.eject(now);
+        true
+    }
+
+    /// Notes the result of a probe. Returns whether the target's state changed.
+    pub fn note_probe(&mut self, now: BootTime, healthy: bool) -> bool {
+        if healthy {
+            self.probe_failures = 0;
+            // Recent request failures stand: the probe may mislead.
+            let over = self.ejected_until.is_some_and(|until| until <= now);
+            if over {
+                self.ejected_until = None;
+                self.failures = EJECT_AFTER - 1;
+            }
+            return over;
+        }
+        self.probe_failures += 1;
+        let trusted = self
+            .succeeded_at
+            .is_some_and(|at| now.saturating_sub(at) < TRUST_TIME);
+        if trusted || self.probe_failures < EJECT_AFTER || self.is_ejected(now) {
+            return false;
+        }
+        self.eject(now);
+        true
+    }
+
+    /// Tells whether the target gets no work for now.
+    pub fn is_ejected(&self, now: BootTime) -> bool {
+        self.ejected_until.is_some_and(|until| until > now)
+    }
+
+    fn eject(&mut self, now: BootTime) {
+        let factor = 1_u32 << self.ejections.min(8);
+        let time = (EJECT_TIME * factor).min(EJECT_LIMIT);
+        self.ejections += 1;
+        self.ejected_until = Some(now + time);
+        // One more failure after the return ejects again.
+        self.failures = EJECT_AFTER - 1;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SECOND: Duration = Duration::from_secs(1);
+
+    #[test]
+    fn ejections_grow_and_a_success_ends_them() {
+        let mut health = TargetHealth::default();
+        assert!(!health.note_failure(SECOND));
+        assert!(!health.note_failure(SECOND));
+        assert!(health.note_failure(SECOND));
+        assert!(health.is_ejected(SECOND));
+        assert!(!health.is_ejected(SECOND * 2));
+        assert!(health.note_failure(SECOND * 2));
+        assert!(health.is_ejected(SECOND * 3));
+        assert!(health.note_success(SECOND * 3));
+        assert!(!health.is_ejected(SECOND * 3));
+    }
+
+    #[test]
+    fn a_lying_probe_does_not_eject_a_target_that_serves() {
+        let mut health = TargetHealth::default();
+        health.note_success(SECOND);
+        for _ in 0..10 {
+            assert!(!health.note_probe(SECOND * 2, false));
+        }
+        assert!(health.note_probe(SECOND * 20, false));
+    }
+}
--- /dev/null
+++ b/crates/route/src/region.rs
@@ -0,0 +1,141 @@
+//! Choice of the region that serves a request, when the own region has no room or a move of
+//! traffic is in force.
+
+use fighall_config::commands::OperatorCommand;
+use fighall_core::{
+    ids::{BootTime, RegionId},
+    rendezvous, value,
+};
+use std::time::Duration;
+
+value! {
+    /// `RegionView` is what is known of another region's room for a service.
+    pub struct RegionView {
+        /// Region.
+        pub region: RegionId,
+        /// Targets of the service there that take work.
+        pub targets: usize,
+        /// Free slots there by the hosts' latest reports.
+        pub free: u32,
+        /// Age of the newest report; none without any.
+        pub age: Option<Duration>,
+        /// Round trip to the region.
+        pub round_trip: Duration,
+        /// Whether an entry host there can be reached.
+        pub reachable: bool,
+        /// Whether this host's share of the link has room now.
+        pub link_room: bool,
+    }
+}
+
+/// Age beyond which a report of free slots is not relied on.
+const REPORT_AGE: Duration = Duration::from_secs(3);
+
+/// Orders the regions in which a request may be tried: those with reported room first, the
+/// nearest of them first. Regions whose reports are old come after them: their room is unknown,
+/// and they accept only against slots that they hold. Full or unreachable regions are left out.
+pub fn order(views: &[RegionView]) -> Vec<RegionId> {
+    let mut usable: Vec<_> = views
+        .iter()
+        .filter(|view| view.targets > 0 && view.reachable && view.link_room)
+        .filter(|view| view.free > 0 || !is_fresh(view))
+        .collect();
+    usable.sort_by_key(|view| (!is_fresh(view), view.round_trip, view.region.clone()));
+    usable.into_iter().map(|view| view.region.clone()).collect()
+}
+
+fn is_fresh(view: &RegionView) -> bool {
+    view.age.is_some_and(|age| age <= REPORT_AGE)
+}
+
+/// Gets the region that a move in force sends a request to. The part of requests that move grows
+/// with the ramp; a request is in it by its identifier, so that all hosts agree.
+pub fn moved_to(
+    commands: &[OperatorCommand],
+    service: &str,
+    region: &str,
+    request: &str,
+    wall_millis: u64,
+) -> Option<RegionId> {
+    for command in commands {
+        let OperatorCommand::Move {
+            service: moved,
+            from,
+            to,
+            percent,
+            ramp_ms,
+            since,
+        } = command
+        else {
+            continue;
+        };
+        if moved != service || from != region {
+            continue;
+        }
+        let elapsed = wall_millis.saturating_sub(*since);
+        let ramp = (*ramp_ms).max(1);
+        let part = u64::from(*percent) * elapsed.min(ramp) * 100 / ramp;
+        if rendezvous::weight(request, "move") % 10_000 < part {
+            return Some(to.clone());
+        }
+    }
+    None
+}
+
+/// Gets how a boot time lies before another, as an age.
+pub fn age(now: BootTime, at: Option<BootTime>) -> Option<Duration> {
+    Some(now.saturating_sub(at?))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn view(region: &str, free: u32, age: Option<u64>, millis: u64) -> RegionView {
+        RegionView {
+            region: region.to_owned(),
+            targets: 4,
+            free,
+            age: age.map(Duration::from_secs),
+            round_trip: Duration::from_millis(millis),
+            reachable: true,
+            link_room: true,
+        }
+    }
+
+    #[test]
+    fn room_comes_before_distance_and_old_reports_come_last() {
+        let mut far = view("far", 5, Some(0), 70);
+        let views = [
+            view("full", 0, Some(0), 10),
+            view("old", 0, Some(60), 5),
+            far.clone(),
+            view("near", 2, Some(1), 20),
+        ];
+        assert_eq!(order(&views), ["near", "far", "old"]);
+        far.link_room = false;
+        assert!(order(&[far]).is_empty());
+    }
+
+    #[test]
+    fn a_move_follows_its_ramp() {
+        let commands = [OperatorCommand::Move {
+            service: "s".to_owned(),
+            from: "a".to_owned(),
+            to: "b".to_owned(),
+            percent: 50,
+            ramp_ms: 1_000,
+            since: 0,
+        }];
+        let count = |at| {
+            let requests = (0..10_000).map(|id| format!("r{id}"));
+            requests
+                .filter(|id| moved_to(&commands, "s", "a", id, at).is_some())
+                .count()
+        };
+        assert_eq!(count(0), 0);
+        assert!((2_200..2_800).contains(&count(500)), "{}", count(500));
+        assert!((4_700..5_300).contains(&count(5_000)));
+        assert_eq!(moved_to(&commands, "s", "b", "r1", 5_000), None);
+    }
+}
--- /dev/null
+++ b/crates/route/src/retry.rs
@@ -0,0 +1,136 @@
+//! The retry budget and what may be sent again.
+
+use fighall_core::tag;
+
+tag! {
+    /// `AttemptResult` is how an attempt to run a request ended.
+    pub enum AttemptResult {
+        /// The target answered.
+        Answered,
+        /// It certainly did not run: no connection, or refused with the agreed mark.
+        NotRun,
+        /// It may have run: the connection broke or went silent after the request was sent.
+        MayHaveRun,
+    }
+}
+
+tag! {
+    /// `RetryDecision` is what follows a failed attempt.
+    pub enum RetryDecision {
+        /// Another attempt may be made.
+        Again,
+        /// The request ends; it did not run.
+        EndNotRun,
+        /// The request ends; its outcome is unknown.
+        EndUnknown,
+    }
+}
+
+/// Most retries that the budget saves up.
+const BUDGET_LIMIT: f64 = 50.0;
+/// Retries that are free at the start.
+const BUDGET_START: f64 = 10.0;
+
+/// `RetryBudget` allows retries as a share of recent requests, so that retries cannot multiply
+/// load during an outage.
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    percent: u32,
+    saved: f64,
+}
+
+impl RetryBudget {
+    /// Creates a budget of `percent` retries for each hundred requests.
+    pub fn new(percent: u32) -> Self {
+        Self {
+            percent,
+            saved: BUDGET_START,
+        }
+    }
+
+    /// Changes the percentage.
+    pub fn set_percent(&mut self, percent: u32) {
+        self.percent = percent;
+    }
+
+    /// Counts a request.
+    pub fn note_request(&mut self) {
+        self.saved = (self.saved + f64::from(self.percent) / 100.0).min(BUDGET_LIMIT);
+    }
+
+    /// Takes a retry from the budget.
+    pub fn take(&mut self) -> bool {
+        if self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
+
+/// Decides what follows a failed attempt. A request that did not run may always go elsewhere; one
+/// that may have run is repeated only if it is idempotent and the budget allows it. `in_time`
+/// tells whether the deadline leaves room for another attempt.
+pub fn decide(
+    result: AttemptResult,
+    idempotent: bool,
+    in_time: bool,
+    budget: &mut RetryBudget,
+) -> RetryDecision {
+    match result {
+        AttemptResult::NotRun if in_time => RetryDecision::Again,
+        AttemptResult::NotRun => RetryDecision::EndNotRun,
+        AttemptResult::MayHaveRun | AttemptResult::Answered => {
+            if idempotent && in_time && budget.take() {
+                return RetryDecision::Again;
+            }
+            RetryDecision::EndUnknown
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_may_have_run_is_never_repeated_unless_idempotent() {
+        let mut budget = RetryBudget::new(100);
+        let result = AttemptResult::MayHaveRun;
+        assert_eq!(
+            decide(result, false, true, &mut budget),
+            RetryDecision::EndUnknown
+        );
+        assert_eq!(
+            decide(result, true, true, &mut budget),
+            RetryDecision::Again
+        );
+        assert_eq!(
+            decide(result, true, false, &mut budget),
+            RetryDecision::EndUnknown
+        );
+        let result = AttemptResult::NotRun;
+        assert_eq!(
+            decide(result, false, true, &mut budget),
+            RetryDecision::Again
+        );
+        assert_eq!(
+            decide(result, false, false, &mut budget),
+            RetryDecision::EndNotRun
+        );
+    }
+
+    #[test]
+    fn the_budget_is_a_share_of_requests() {
+        let mut budget = RetryBudget::new(20);
+        while budget.take() {}
+        for _ in 0..100 {
+            budget.note_request();
+        }
+        let mut taken = 0;
+        while budget.take() {
+            taken += 1;
+        }
+        assert!((19..=20).contains(&taken), "{taken}");
+    }
+}
