--- /dev/null
+++ b/crates/entry/src/body.rs
@@ -0,0 +1,369 @@
+//! Bodies on their way through: the caller's towards the target, and the target's answer.
+
+use crate::{exchange::ExchangeGuard, quotas::LinkPace};
+use bytes::Bytes;
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use snafu::Snafu;
+use std::{
+    cell::Cell,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+/// `BodyError` is why a body ended before it was whole.
+#[derive(Debug, Snafu)]
+pub enum BodyError {
+    /// The connection that the body came from broke.
+    #[snafu(display("the body was cut: {cause}"))]
+    Cut {
+        /// Cause as text.
+        cause: String,
+    },
+    /// The body exceeds the route's limit.
+    #[snafu(display("the body exceeds {limit} bytes"))]
+    TooLarge {
+        /// Limit in bytes.
+        limit: u64,
+    },
+    /// The sender paused for too long.
+    #[snafu(display("nothing came for {millis} ms"))]
+    TooSlow {
+        /// Bound in milliseconds.
+        millis: u128,
+    },
+}
+
+/// `BodyProgress` tells how far a caller's body was read, also after it was handed away.
+#[derive(Debug, Default)]
+pub struct BodyProgress {
+    started: Cell<bool>,
+    failed: Cell<bool>,
+}
+
+impl BodyProgress {
+    /// Tells whether any of the body was taken.
+    pub fn has_started(&self) -> bool {
+        self.started.get()
+    }
+
+    /// Tells whether the caller's side failed while it sent the body.
+    pub fn has_failed(&self) -> bool {
+        self.failed.get()
+    }
+}
+
+/// `CallerBody` is a caller's body, read under the route's limit and the pause bound.
+#[derive(Debug)]
+pub struct CallerBody {
+    body: Incoming,
+    limit: u64,
+    taken: u64,
+    pause: Duration,
+    timer: Option<PauseTimer>,
+    progress: Rc<BodyProgress>,
+}
+
+// The time that the sender may still pause.
+struct PauseTimer(LocalBoxFuture<'static, ()>);
+
+impl std::fmt::Debug for PauseTimer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PauseTimer").finish_non_exhaustive()
+    }
+}
+
+impl CallerBody {
+    /// Wraps a body; `progress` is shared with whoever decides on retries.
+    pub fn new(body: Incoming, limit: u64, pause: Duration, progress: Rc<BodyProgress>) -> Self {
+        Self {
+            body,
+            limit,
+            taken: 0,
+            pause,
+            timer: None,
+            progress,
+        }
+    }
+
+    fn fail(&self, error: BodyError) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.progress.failed.set(true);
+        Poll::Ready(Some(Err(error)))
+    }
+}
+
+impl Body for CallerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.progress.started.set(true);
+        match Pin::new(&mut self.body).poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => {
+                self.timer = None;
+                let length = frame.data_ref().map_or(0, Bytes::len);
+                self.taken += u64::try_from(length).unwrap_or(u64::MAX);
+                if self.taken > self.limit {
+                    let limit = self.limit;
+                    return self.fail(BodyError::TooLarge { limit });
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                let cause = error.to_string();
+                self.fail(BodyError::Cut { cause })
+            }
+            Poll::Ready(None) => Poll::Ready(None),
+            Poll::Pending => {
+                let pause = self.pause;
+                let timer = self
+                    .timer
+                    .get_or_insert_with(|| PauseTimer(compio::time::sleep(pause).boxed_local()));
+                if timer.0.as_mut().poll(cx).is_ready() {
+                    let millis = pause.as_millis();
+                    return self.fail(BodyError::TooSlow { millis });
+                }
+                Poll::Pending
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// `UpstreamBody` is what is sent to a target or a peer.
+#[derive(Debug)]
+pub enum UpstreamBody {
+    /// A body that is held whole, so that it can be sent again.
+    Whole(Full<Bytes>),
+    /// A body that is passed on as it comes.
+    Streamed(Box<CallerBody>),
+    /// A body that is passed on at the pace of a link.
+    Paced(Box<PacedBody<CallerBody>>),
+}
+
+impl Body for UpstreamBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|error| match error {}),
+            Self::Streamed(body) => Pin::new(body.as_mut()).poll_frame(cx),
+            Self::Paced(body) => Pin::new(body.as_mut()).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Streamed(body) => body.is_end_stream(),
+            Self::Paced(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Streamed(body) => body.size_hint(),
+            Self::Paced(body) => body.size_hint(),
+        }
+    }
+}
+
+/// `PacedBody` passes frames on only as this host's share of a link allows.
+pub struct PacedBody<B> {
+    body: B,
+    pace: LinkPace,
+    held: Option<Frame<Bytes>>,
+    waiting: Option<LocalBoxFuture<'static, ()>>,
+}
+
+impl<B> std::fmt::Debug for PacedBody<B> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PacedBody").finish_non_exhaustive()
+    }
+}
+
+impl<B> PacedBody<B> {
+    /// Wraps a body.
+    pub fn new(body: B, pace: LinkPace) -> Self {
+        Self {
+            body,
+            pace,
+            held: None,
+            waiting: None,
+        }
+    }
+}
+
+impl<B> Body for PacedBody<B>
+where
+    B: Body<Data = Bytes, Error = BodyError> + Unpin,
+{
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        loop {
+            if let Some(waiting) = &mut self.waiting {
+                if waiting.as_mut().poll(cx).is_pending() {
+                    return Poll::Pending;
+                }
+                self.waiting = None;
+                return Poll::Ready(self.held.take().map(Ok));
+            }
+            match Pin::new(&mut self.body).poll_frame(cx) {
+                Poll::Ready(Some(Ok(frame))) => {
+                    let bytes = frame.data_ref().map_or(0, Bytes::len);
+                    self.held = Some(frame);
+                    self.waiting = Some(self.pace.clone().wait(bytes));
+                }
+                other => return other,
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.held.is_none() && self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// `AnswerBody` is a target's body with what must be given back when it ends. A cut body ends in
+/// an error, so that the caller's connection breaks rather than ending as if whole.
+#[derive(Debug)]
+pub struct AnswerBody {
+    body: Incoming,
+    guard: Option<ExchangeGuard>,
+}
+
+impl AnswerBody {
+    /// Wraps a body; the guard goes back when it has ended.
+    pub fn new(body: Incoming, guard: ExchangeGuard) -> Self {
+        let mut answer = Self {
+            body,
+            guard: Some(guard),
+        };
+        answer.finish_if_ended();
+        answer
+    }
+
+    fn finish_if_ended(&mut self) {
+        if self.body.is_end_stream()
+            && let Some(guard) = self.guard.take()
+        {
+            guard.finish();
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match Pin::new(&mut self.body).poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => {
+                self.finish_if_ended();
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                if let Some(guard) = self.guard.take() {
+                    guard.fail();
+                }
+                let cause = error.to_string();
+                Poll::Ready(Some(Err(BodyError::Cut { cause })))
+            }
+            Poll::Ready(None) => {
+                if let Some(guard) = self.guard.take() {
+                    guard.finish();
+                }
+                Poll::Ready(None)
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// `ProxyBody` is what a caller or a forwarding peer is sent.
+#[derive(Debug)]
+pub enum ProxyBody {
+    /// A body that is held whole.
+    Whole(Full<Bytes>),
+    /// A target's body, passed on as it comes.
+    Answer(Box<AnswerBody>),
+    /// A target's body, passed on at the pace of a link.
+    Paced(Box<PacedBody<AnswerBody>>),
+}
+
+impl ProxyBody {
+    /// Creates a body from bytes.
+    pub fn full(bytes: Bytes) -> Self {
+        Self::Whole(Full::new(bytes))
+    }
+}
+
+impl Body for ProxyBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|error| match error {}),
+            Self::Answer(body) => Pin::new(body.as_mut()).poll_frame(cx),
+            Self::Paced(body) => Pin::new(body.as_mut()).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Answer(body) => body.is_end_stream(),
+            Self::Paced(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Answer(body) => body.size_hint(),
+            Self::Paced(body) => body.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/exchange.rs
@@ -0,0 +1,142 @@
+//! One exchange with a target or a peer, and what must be given back when it ends.
+
+use crate::{
+    body::UpstreamBody,
+    pool::{ConnectError, ConnectionNeed, ConnectionPool, PooledConnection},
+    targets::SlotLease,
+};
+use fighall_core::{clock::boot_time, ids::BootTime, value};
+use fighall_route::retry::AttemptResult;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+value! {
+    /// `AttemptFailure` is how an attempt ended without an answer.
+    pub struct AttemptFailure {
+        /// Whether the request may have run.
+        pub result: AttemptResult,
+        /// What happened.
+        pub cause: String,
+        /// Whether the connection went silent.
+        pub silent: bool,
+    }
+}
+
+impl AttemptFailure {
+    /// Creates the failure of a request that certainly did not run.
+    pub fn not_run(cause: impl ToString) -> Self {
+        Self {
+            result: AttemptResult::NotRun,
+            cause: cause.to_string(),
+            silent: false,
+        }
+    }
+
+    /// Creates the failure of a request that may have run.
+    pub fn may_have_run(cause: impl ToString) -> Self {
+        Self {
+            result: AttemptResult::MayHaveRun,
+            cause: cause.to_string(),
+            silent: false,
+        }
+    }
+}
+
+/// `ExchangeGuard` gives the connection and the slot back when an exchange has ended. Dropping it
+/// cancels the exchange: the connection is closed, which the target sees.
+#[derive(Debug)]
+pub struct ExchangeGuard {
+    pool: Rc<ConnectionPool>,
+    connection: Option<PooledConnection>,
+    slot: Option<SlotLease>,
+}
+
+impl ExchangeGuard {
+    /// Creates the guard of an exchange; requests to peers hold no slot here.
+    pub fn new(pool: Rc<ConnectionPool>, slot: Option<SlotLease>) -> Self {
+        Self {
+            pool,
+            connection: None,
+            slot,
+        }
+    }
+
+    /// Ends an exchange whose answer came whole.
+    pub fn finish(mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.pool.put(connection);
+        }
+    }
+
+    /// Ends an exchange whose answer was cut.
+    pub fn fail(self) {
+        if let Some(slot) = &self.slot {
+            slot.note_failure();
+        }
+    }
+
+    /// Gets the slot.
+    pub fn slot(&self) -> Option<&SlotLease> {
+        self.slot.as_ref()
+    }
+}
+
+value! {
+    /// `ExchangeBounds` are the bounds of one attempt.
+    #[derive(Copy)]
+    pub struct ExchangeBounds {
+        /// What the connection must be like.
+        pub need: ConnectionNeed,
+        /// When the attempt is given up without the answer's head.
+        pub give_up_at: BootTime,
+    }
+}
+
+/// Sends a request over a connection and waits for the answer's head.
+///
+/// # Errors
+///
+/// Returns whether the request may have run. It certainly did not when no connection was had, or
+/// when the connection closed before it took the request.
+pub async fn send(
+    guard: &mut ExchangeGuard,
+    address: SocketAddr,
+    request: Request<UpstreamBody>,
+    bounds: ExchangeBounds,
+) -> Result<Response<Incoming>, AttemptFailure> {
+    let pool = Rc::clone(&guard.pool);
+    let connection = pool.take(address, bounds.need).await;
+    let connection = connection.map_err(|error: ConnectError| AttemptFailure::not_run(error))?;
+    let connection = guard.connection.insert(connection);
+    let left = bounds.give_up_at.saturating_sub(boot_time());
+    if left.is_zero() {
+        return Err(AttemptFailure::not_run("the time was up before sending"));
+    }
+    let sending = connection.sender.try_send_request(request);
+    match compio::time::timeout(left, sending).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(mut error)) => {
+            guard.connection = None;
+            let unsent = error.take_message().is_some();
+            let cause = error.into_error();
+            if unsent {
+                return Err(AttemptFailure::not_run(cause));
+            }
+            Err(AttemptFailure::may_have_run(cause))
+        }
+        Err(_) => {
+            guard.connection = None;
+            pool.flush(address);
+            Err(AttemptFailure {
+                result: AttemptResult::MayHaveRun,
+                cause: format!("no answer within {} ms", millis(left)),
+                silent: true,
+            })
+        }
+    }
+}
+
+fn millis(duration: Duration) -> u128 {
+    duration.as_millis()
+}
--- /dev/null
+++ b/crates/entry/src/headers.rs
@@ -0,0 +1,189 @@
+//! Headers: what is removed from a caller's request, and what fighall sets.
+
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Uri,
+    header::{
+        AUTHORIZATION, CONNECTION, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+        TRANSFER_ENCODING, UPGRADE,
+    },
+    uri::PathAndQuery,
+};
+
+/// Prefix of all headers that fighall sets; a caller's own are removed.
+pub const OWN_PREFIX: &str = "fighall-";
+/// Identifier of the request.
+pub const REQUEST_HEADER: HeaderName = HeaderName::from_static("fighall-request");
+/// Organisation whose key came with the request.
+pub const ORGANISATION_HEADER: HeaderName = HeaderName::from_static("fighall-organisation");
+/// Time left until the deadline, in milliseconds.
+pub const DEADLINE_HEADER: HeaderName = HeaderName::from_static("fighall-deadline-ms");
+/// Mark of an answer to a request that did not run: `no`. Targets that shed load send it too.
+pub const RUN_HEADER: HeaderName = HeaderName::from_static("fighall-run");
+/// Proof that a forwarded request comes from an entry host.
+pub const FLEET_HEADER: HeaderName = HeaderName::from_static("fighall-fleet");
+/// Service of a forwarded request.
+pub const SERVICE_HEADER: HeaderName = HeaderName::from_static("fighall-service");
+/// Region that forwarded the request.
+pub const REGION_HEADER: HeaderName = HeaderName::from_static("fighall-region");
+/// Host that answered the caller.
+pub const HOST_HEADER: HeaderName = HeaderName::from_static("fighall-host");
+/// Header in which a caller may present its key.
+pub const KEY_HEADER: HeaderName = HeaderName::from_static("x-api-key");
+/// Header by which a caller makes a request idempotent.
+pub const IDEMPOTENCY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Gets the key that a caller presents.
+pub fn presented_key(headers: &HeaderMap) -> Option<String> {
+    if let Some(value) = headers.get(AUTHORIZATION) {
+        let text = value.to_str().ok()?;
+        let (scheme, key) = text.split_once(' ')?;
+        if scheme.eq_ignore_ascii_case("bearer") {
+            return Some(key.trim().to_owned());
+        }
+    }
+    let value = headers.get(&KEY_HEADER)?;
+    Some(value.to_str().ok()?.trim().to_owned())
+}
+
+/// Removes headers that hold for one connection only (RFC 9110, section 7.6.1).
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let mut named = Vec::new();
+    for value in headers.get_all(CONNECTION) {
+        let Ok(text) = value.to_str() else {
+            continue;
+        };
+        for name in text.split(',') {
+            named.extend(name.trim().parse::<HeaderName>());
+        }
+    }
+    for name in named {
+        headers.remove(name);
+    }
+    let fixed = [
+        CONNECTION,
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+        HeaderName::from_static("keep-alive"),
+        HeaderName::from_static("proxy-connection"),
+    ];
+    for name in fixed {
+        headers.remove(name);
+    }
+}
+
+/// Removes the headers that only fighall may set.
+pub fn remove_own(headers: &mut HeaderMap) {
+    let names: Vec<_> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(OWN_PREFIX))
+        .cloned()
+        .collect();
+    for name in names {
+        headers.remove(name);
+    }
+}
+
+/// Removes the key from all headers: those that present keys, and any that holds a copy.
+pub fn remove_key(headers: &mut HeaderMap, key: Option<&str>) {
+    headers.remove(AUTHORIZATION);
+    headers.remove(&KEY_HEADER);
+    let Some(key) = key.filter(|key| !key.is_empty()) else {
+        return;
+    };
+    let holding: Vec<_> = headers
+        .iter()
+        .filter(|(_, value)| contains(value.as_bytes(), key.as_bytes()))
+        .map(|(name, _)| name.clone())
+        .collect();
+    for name in holding {
+        headers.remove(name);
+    }
+}
+
+/// Gets the path and query without the parameters that hold the key, plain or percent-encoded.
+pub fn target_without_key(uri: &Uri, key: Option<&str>) -> PathAndQuery {
+    let whole = uri
+        .path_and_query()
+        .cloned()
+        .unwrap_or_else(|| PathAndQuery::from_static("/"));
+    let (Some(key), Some(query)) = (key.filter(|key| !key.is_empty()), uri.query()) else {
+        return whole;
+    };
+    let kept: Vec<_> = query
+        .split('&')
+        .filter(|pair| !contains(&percent_decoded(pair), key.as_bytes()))
+        .collect();
+    let text = if kept.is_empty() {
+        uri.path().to_owned()
+    } else {
+        format!("{}?{}", uri.path(), kept.join("&"))
+    };
+    text.parse().unwrap_or(whole)
+}
+
+/// Sets a header, unless the text cannot stand in one.
+pub fn set(headers: &mut HeaderMap, name: &HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name.clone(), value);
+    }
+}
+
+fn contains(text: &[u8], part: &[u8]) -> bool {
+    text.windows(part.len()).any(|window| window == part)
+}
+
+fn percent_decoded(text: &str) -> Vec<u8> {
+    let bytes = text.as_bytes();
+    let mut decoded = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while at < bytes.len() {
+        let hex = text.get(at + 1..at + 3);
+        let byte = hex.and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        match (bytes[at], byte) {
+            (b'%', Some(byte)) => {
+                decoded.push(byte);
+                at += 3;
+            }
+            (byte, _) => {
+                decoded.push(byte);
+                at += 1;
+            }
+        }
+    }
+    decoded
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_key_leaves_no_copy() {
+        let mut headers = HeaderMap::new();
+        headers.insert(AUTHORIZATION, HeaderValue::from_static("Bearer fk_abc"));
+        headers.insert("x-copy", HeaderValue::from_static("my fk_abc here"));
+        headers.insert("x-other", HeaderValue::from_static("kept"));
+        let key = presented_key(&headers);
+        assert_eq!(key.as_deref(), Some("fk_abc"));
+        remove_key(&mut headers, key.as_deref());
+        assert_eq!(headers.len(), 1);
+        let uri: Uri = "/a?x=1&key=fk%5Fabc&y=2&k=fk_abc".parse().unwrap();
+        assert_eq!(target_without_key(&uri, key.as_deref()).as_str(), "/a?x=1&y=2");
+    }
+
+    #[test]
+    fn connection_names_are_removed() {
+        let mut headers = HeaderMap::new();
+        headers.insert(CONNECTION, HeaderValue::from_static("close, X-Hop"));
+        headers.insert("x-hop", HeaderValue::from_static("1"));
+        headers.insert("fighall-organisation", HeaderValue::from_static("forged"));
+        headers.insert("accept", HeaderValue::from_static("*/*"));
+        remove_hop_by_hop(&mut headers);
+        remove_own(&mut headers);
+        assert_eq!(headers.len(), 1);
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,3 +1,34 @@
 //! The daemon of every entry host.
+//!
+//! [`node::EntryNode`] registers the services with the micro-kernel and runs them; each module
+//! below holds one of them. Services find each other by the names in [`names`].
 
 #![forbid(unsafe_code)]
+
+pub mod authority;
+pub mod body;
+pub mod claims;
+pub mod configuration;
+pub mod errors;
+pub mod exchange;
+pub mod forward;
+pub mod headers;
+pub mod identity;
+pub mod listener;
+pub mod lookups;
+pub mod members;
+pub mod metrics;
+pub mod mirrors;
+pub mod names;
+pub mod node;
+pub mod operator;
+pub mod pool;
+pub mod probes;
+pub mod problem;
+pub mod proxy;
+pub mod quotas;
+pub mod request;
+pub mod router;
+pub mod settings;
+pub mod status;
+pub mod targets;
--- /dev/null
+++ b/crates/entry/src/members.rs
@@ -0,0 +1,431 @@
+//! The member id of this host: its lease, renewal, hand-over and loss.
+
+use crate::{configuration::ConfigService, identity::HostIdentity, mirrors::MirrorService, names};
+use event_listener::{Event, EventListener};
+use fighall_config::listing::{HostRole, ListedHost};
+use fighall_core::{
+    clock::boot_time,
+    event::{EventKind, EventSubject},
+    ids::{BootTime, MemberId, Version},
+    ring::EventRing,
+};
+use fighall_kernel::{
+    errors::Result,
+    kernel::MicroKernel,
+    stage::LifeStage,
+};
+use fighall_membership::{
+    lease::{MemberLease, member_of, object_name},
+    table::{ClaimPlan, Evidence, MemberTable, TableOptions},
+};
+use fighall_peer::{mesh::PeerMesh, view::PeerAddress};
+use fighall_platform::{
+    client::{StoreClient, WriteOutcome},
+    object::kinds,
+};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+
+/// Pause between looks at the table.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
+/// Renewals within a lease time.
+const RENEWALS: u32 = 3;
+/// Longest time that the release of the id may take at a stop.
+const RELEASE_LIMIT: Duration = Duration::from_secs(3);
+
+#[derive(Debug, Clone)]
+struct HeldMember {
+    member: MemberId,
+    version: Version,
+    lease: MemberLease,
+    renewed_at: BootTime,
+    active_at: BootTime,
+}
+
+/// `MemberService` claims a member id, keeps it, and notices when it has moved.
+#[derive(Debug)]
+pub struct MemberService {
+    identity: Rc<HostIdentity>,
+    ring: Rc<EventRing>,
+    store: Rc<StoreClient>,
+    mesh: Rc<PeerMesh>,
+    mirrors: Rc<MirrorService>,
+    config: Rc<ConfigService>,
+    kernel: Rc<MicroKernel>,
+    table: RefCell<MemberTable>,
+    held: RefCell<Option<HeldMember>>,
+    proved_at: Cell<BootTime>,
+    lease_time: Cell<Duration>,
+    changed: Event,
+}
+
+impl MemberService {
+    /// Creates a service that holds no id.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a service that it needs is missing.
+    pub fn new(kernel: &Rc<MicroKernel>) -> Result<Self> {
+        let options = TableOptions::default();
+        Ok(Self {
+            identity: kernel.find(names::IDENTITY)?,
+            ring: kernel.find(names::EVENTS)?,
+            store: kernel.find(names::STORE)?,
+            mesh: kernel.find(names::MESH)?,
+            mirrors: kernel.find(names::MIRRORS)?,
+            config: kernel.find(names::CONFIGURATION)?,
+            kernel: Rc::clone(kernel),
+            lease_time: Cell::new(options.lease_time),
+            table: RefCell::new(MemberTable::new(options, 0..0)),
+            held: RefCell::new(None),
+            proved_at: Cell::new(Duration::ZERO),
+            changed: Event::new(),
+        })
+    }
+
+    /// Claims and renews until the process leaves.
+    pub async fn keep(self: Rc<Self>) {
+        loop {
+            self.look();
+            if self.kernel.signal().stage() < LifeStage::Finishing {
+                self.claim_or_renew().await;
+            }
+            compio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    /// Keeps the mesh's peers to the holders of member ids.
+    pub async fn follow_peers(self: Rc<Self>) {
+        loop {
+            let Some(listener) = self.mirrors.listen(kinds::MEMBERS) else {
+                return;
+            };
+            self.look();
+            listener.await;
+        }
+    }
+
+    /// Gets the member id whose base shares may be used now. It is checked at each spend: a host
+    /// that was paused or cut off for as long as a hand-over takes may have a successor.
+    pub fn active_member(&self, now: BootTime) -> Option<MemberId> {
+        let held = self.held.borrow();
+        let held = held.as_ref()?;
+        (held.active_at <= now && self.is_proved(now)).then_some(held.member)
+    }
+
+    /// Gets the member id held, whether or not its shares may be used yet.
+    pub fn member(&self) -> Option<MemberId> {
+        Some(self.held.borrow().as_ref()?.member)
+    }
+
+    /// Gets a listener for the next change of the id held.
+    pub fn listen(&self) -> EventListener {
+        self.changed.listen()
+    }
+
+    /// Notes that a peer heard this host no earlier than `at`: nobody can have succeeded it by
+    /// then.
+    pub fn note_heard(&self, at: BootTime) {
+        self.proved_at.set(self.proved_at.get().max(at));
+    }
+
+    /// Gives the id up at a planned stop; `wait_out` is how long loans may still go on.
+    pub async fn release(&self, wait_out: Duration) {
+        let held = self.held.borrow_mut().take();
+        let Some(held) = held else {
+            return;
+        };
+        let mut lease = held.lease;
+        lease.released = true;
+        lease.wait_out_ms = millis(wait_out);
+        lease.renewal += 1;
+        let text = serde_json::to_string(&lease).unwrap_or_default();
+        let name = object_name(held.member);
+        let write = self
+            .store
+            .put_settled(kinds::MEMBERS, &name, &text, held.version);
+        let _ = compio::time::timeout(RELEASE_LIMIT, write).await;
+        self.record(None, "released at a planned stop");
+    }
+
+    /// Gets the leases of all held ids.
+    pub fn leases(&self) -> Vec<MemberLease> {
+        let table = self.table.borrow();
+        let held = table.held().into_iter();
+        held.map(|(_, lease)| lease.clone()).collect()
+    }
+
+    /// Gets the lease time in force.
+    pub fn lease_time(&self) -> Duration {
+        self.lease_time.get()
+    }
+
+    fn is_proved(&self, now: BootTime) -> bool {
+        let silent = now.saturating_sub(self.proved_at.get());
+        silent < self.lease_time.get() || self.is_alone()
+    }
+
+    // Without any other member nobody is there to take the id over.
+    fn is_alone(&self) -> bool {
+        let table = self.table.borrow();
+        table.held().len() <= 1
+    }
+
+    // Takes the table from the copy of the leases; finds out whether the own id has moved.
+    fn look(&self) {
+        let now = boot_time();
+        if let Some(config) = self.config.config() {
+            let lease_time = Duration::from_millis(config.fleet.lease_ms);
+            let members = config.fleet.members_of(&self.identity.region);
+            self.lease_time.set(lease_time);
+            let options = TableOptions::with_lease_time(lease_time);
+            self.table.borrow_mut().set_bounds(options, members);
+        }
+        let confirmed = self.mirrors.age(kinds::MEMBERS);
+        let fresh = confirmed.is_some_and(|age| age < self.lease_time.get() / 2);
+        if fresh {
+            self.table.borrow_mut().tick(now);
+        }
+        self.mirrors.with_kind(kinds::MEMBERS, |mirror| {
+            let mut table = self.table.borrow_mut();
+            for change in mirror.changes_after(0) {
+                let Some(member) = member_of(&change.name) else {
+                    continue;
+                };
+                let lease = change.value.as_deref();
+                let lease: Option<MemberLease> = lease.and_then(|text| serde_json::from_str(text).ok());
+                table.observe(now, member, change.version, lease.as_ref());
+            }
+            if mirror.age(now).is_some() {
+                table.set_complete();
+            }
+        });
+        self.check_own();
+        self.set_peers();
+    }
+
+    fn check_own(&self) {
+        let moved = {
+            let held = self.held.borrow();
+            let Some(held) = held.as_ref() else {
+                return;
+            };
+            let table = self.table.borrow();
+            table.get(held.member).is_some_and(|(lease, version)| {
+                let own = lease.is_held_by(&self.identity.host, self.identity.incarnation);
+                version > held.version && !own
+            })
+        };
+        if moved {
+            self.lose("another process holds the member id");
+        }
+    }
+
+    fn lose(&self, cause: &str) {
+        self.held.borrow_mut().take();
+        self.record(None, cause);
+        self.changed.notify(usize::MAX);
+    }
+
+    fn set_peers(&self) {
+        let mut peers = Vec::new();
+        for lease in self.leases() {
+            if lease.host == self.identity.host {
+                continue;
+            }
+            peers.push(PeerAddress {
+                host: lease.host,
+                incarnation: lease.incarnation,
+                address: lease.peer_address,
+                region: lease.region,
+                zone: lease.zone,
+            });
+        }
+        self.mesh.set_peers(&peers);
+    }
+
+    async fn claim_or_renew(&self) {
+        let held = self.held.borrow().clone();
+        match held {
+            Some(held) => self.renew(held).await,
+            None => self.claim().await,
+        }
+    }
+
+    async fn renew(&self, held: HeldMember) {
+        let now = boot_time();
+        if now.saturating_sub(held.renewed_at) < self.lease_time.get() / RENEWALS {
+            return;
+        }
+        let mut lease = held.lease.clone();
+        lease.renewal += 1;
+        lease.wait_out_ms = self.wait_out_ms();
+        let outcome = self.write(held.member, &lease, Some(held.version)).await;
+        match outcome {
+            Ok(WriteOutcome::Written { version }) => {
+                self.note_heard(now);
+                if let Some(current) = self.held.borrow_mut().as_mut() {
+                    current.version = version;
+                    current.lease = lease;
+                    current.renewed_at = now;
+                }
+            }
+            Ok(WriteOutcome::Conflict { current }) => {
+                self.resolve_conflict(current.as_ref().map(|object| (object.version, object.value.as_str())));
+            }
+            // The store does not answer: the base shares outlive its outage.
+            Err(_) => {}
+        }
+    }
+
+    // An earlier renewal of this process may have taken effect late; anything else is a loss.
+    fn resolve_conflict(&self, current: Option<(Version, &str)>) {
+        let lease = current.and_then(|(version, text)| {
+            let lease: MemberLease = serde_json::from_str(text).ok()?;
+            let own = lease.is_held_by(&self.identity.host, self.identity.incarnation);
+            own.then_some((version, lease))
+        });
+        match lease {
+            Some((version, lease)) => {
+                if let Some(held) = self.held.borrow_mut().as_mut() {
+                    held.version = version;
+                    held.lease = lease;
+                }
+            }
+            None => self.lose("another process holds the member id"),
+        }
+    }
+
+    async fn claim(&self) {
+        let now = boot_time();
+        if self.config.config().is_none() || !self.table.borrow().is_complete() {
+            return;
+        }
+        let plan = {
+            let table = self.table.borrow();
+            let evidence = |_: MemberId, lease: &MemberLease| self.evidence(now, lease);
+            table.claimable(now, &self.identity.host, &evidence)
+        };
+        let Some(plan) = plan else {
+            return;
+        };
+        let lease = self.new_lease();
+        let outcome = self.write(plan.member, &lease, plan.expected).await;
+        if let Ok(WriteOutcome::Written { version }) = outcome {
+            self.take_member(now, &plan, version, lease);
+        }
+    }
+
+    fn take_member(&self, now: BootTime, plan: &ClaimPlan, version: Version, lease: MemberLease) {
+        let held = HeldMember {
+            member: plan.member,
+            version,
+            lease,
+            renewed_at: now,
+            active_at: boot_time() + plan.wait_out,
+        };
+        *self.held.borrow_mut() = Some(held);
+        self.note_heard(now);
+        let wait = plan.wait_out.as_millis();
+        let cause = format!("claimed; base shares rest for {wait} ms");
+        self.record(Some(plan.member), &cause);
+        self.changed.notify(usize::MAX);
+    }
+
+    async fn write(
+        &self,
+        member: MemberId,
+        lease: &MemberLease,
+        expected: Option<Version>,
+    ) -> fighall_platform::errors::Result<WriteOutcome> {
+        let text = serde_json::to_string(lease).unwrap_or_default();
+        let name = object_name(member);
+        match expected {
+            None => self.store.create_settled(kinds::MEMBERS, &name, &text).await,
+            Some(version) => {
+                self.store
+                    .put_settled(kinds::MEMBERS, &name, &text, version)
+                    .await
+            }
+        }
+    }
+
+    fn new_lease(&self) -> MemberLease {
+        let identity = &self.identity;
+        MemberLease {
+            host: identity.host.clone(),
+            incarnation: identity.incarnation,
+            peer_address: identity.peer_address.clone(),
+            forward_address: identity.forward_address.clone(),
+            caller_address: identity.caller_address.clone(),
+            operator_address: identity.operator_address.clone(),
+            region: identity.region.clone(),
+            zone: identity.zone.clone(),
+            renewal: 0,
+            released: false,
+            wait_out_ms: self.wait_out_ms(),
+        }
+    }
+
+    // Loans last up to their term and requests up to the term of slots, each with its margin.
+    fn wait_out_ms(&self) -> u64 {
+        let config = self.config.config();
+        config.map_or(0, |config| {
+            let longest = config.fleet.loan_ms.max(config.fleet.slot_loan_ms);
+            longest + longest / 50 + 40
+        })
+    }
+
+    fn evidence(&self, now: BootTime, lease: &MemberLease) -> Evidence {
+        let listed = self.mirrors.with_kind(kinds::HOSTS, |mirror| {
+            let value = mirror.value(&lease.host)?;
+            serde_json::from_str::<ListedHost>(value).ok()
+        });
+        let listed = listed.flatten();
+        let named = listed.is_some_and(|listed| listed.role == HostRole::Entry);
+        // A new process on the old one's address has taken its place.
+        let replaced = self
+            .leases()
+            .iter()
+            .any(|other| other.peer_address == lease.peer_address && other.incarnation > lease.incarnation);
+        Evidence {
+            unlisted: !named || replaced || lease.peer_address == self.identity.peer_address,
+            unheard: self.is_unheard(now, lease),
+        }
+    }
+
+    fn is_unheard(&self, now: BootTime, lease: &MemberLease) -> bool {
+        let lease_time = self.lease_time.get();
+        self.mesh.with_views(|views| {
+            for view in views {
+                let alive = view.is_alive(now, lease_time);
+                let same = view.peer.host == lease.host;
+                if same && alive && view.heard_incarnation == Some(lease.incarnation) {
+                    return false;
+                }
+                let heard = view.state.hears.iter().any(|heard| {
+                    heard.host == lease.host && heard.incarnation == lease.incarnation
+                });
+                if !same && alive && heard {
+                    return false;
+                }
+            }
+            true
+        })
+    }
+
+    fn record(&self, member: Option<MemberId>, cause: &str) {
+        let kind = EventKind::LeaseChanged {
+            member,
+            cause: cause.to_owned(),
+        };
+        self.ring.record(EventSubject::default(), kind);
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/pool.rs
@@ -0,0 +1,261 @@
+//! Connections to targets and peers. One connection carries one exchange at a time; one that was
+//! cancelled or cut is dropped, so that a late answer meets nobody else's request.
+
+use crate::body::UpstreamBody;
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use fighall_core::{clock::boot_time, ids::BootTime, value};
+use hyper::client::conn::http1::{self, SendRequest};
+use socket2::{SockRef, TcpKeepalive};
+use snafu::Snafu;
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+/// Longest time that opening a connection may take.
+const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
+/// Idle connections kept to one address.
+const IDLE_LIMIT: usize = 32;
+/// Time after which an idle connection is not used again.
+const IDLE_TIME: Duration = Duration::from_secs(20);
+/// Time after which the kernel gives up on data that is not acknowledged.
+const USER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Idle time before the kernel probes a connection.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
+
+/// `ConnectError` is why no connection was had. The request did not run.
+#[derive(Debug, Snafu)]
+pub enum ConnectError {
+    /// The connection could not be opened.
+    #[snafu(display("no connection to {address}: {cause}"))]
+    Refused {
+        /// Address.
+        address: SocketAddr,
+        /// Cause as text.
+        cause: String,
+    },
+    /// Opening took too long.
+    #[snafu(display("no connection to {address} in time"))]
+    Timeout {
+        /// Address.
+        address: SocketAddr,
+    },
+    /// The target's connections are all in use.
+    #[snafu(display("{address} takes no more connections"))]
+    Full {
+        /// Address.
+        address: SocketAddr,
+    },
+}
+
+value! {
+    /// `ConnectionNeed` is what a connection is wanted for.
+    #[derive(Copy)]
+    pub struct ConnectionNeed {
+        /// Longest idle time of a connection that may be used again; zero takes a new one.
+        pub reuse_within: Duration,
+        /// Most connections to the address from this host.
+        pub limit: u32,
+    }
+}
+
+struct IdleConnection {
+    sender: SendRequest<UpstreamBody>,
+    count: ConnectionCount,
+    idle_since: BootTime,
+}
+
+#[derive(Default)]
+struct AddressPool {
+    idle: Vec<IdleConnection>,
+    open: Rc<Cell<u32>>,
+}
+
+// Counts an open connection while it lives.
+struct ConnectionCount(Rc<Cell<u32>>);
+
+impl ConnectionCount {
+    fn new(open: &Rc<Cell<u32>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for ConnectionCount {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// `PooledConnection` is a connection for one exchange.
+pub struct PooledConnection {
+    /// Address.
+    pub address: SocketAddr,
+    /// Whether the connection carried an exchange before.
+    pub reused: bool,
+    /// Sender of requests.
+    pub sender: SendRequest<UpstreamBody>,
+    count: ConnectionCount,
+}
+
+impl std::fmt::Debug for PooledConnection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PooledConnection")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+/// `ConnectionPool` keeps idle connections by address.
+#[derive(Default)]
+pub struct ConnectionPool {
+    addresses: RefCell<BTreeMap<SocketAddr, AddressPool>>,
+}
+
+impl std::fmt::Debug for ConnectionPool {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ConnectionPool").finish_non_exhaustive()
+    }
+}
+
+impl ConnectionPool {
+    /// Creates an empty pool.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes an idle connection that is fresh enough, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no connection was had; nothing was sent.
+    pub async fn take(
+        &self,
+        address: SocketAddr,
+        need: ConnectionNeed,
+    ) -> Result<PooledConnection, ConnectError> {
+        while let Some(idle) = self.take_idle(address, need.reuse_within) {
+            let mut sender = idle.sender;
+            // The connection's task may not yet have seen the end of the last exchange.
+            let ready = compio::time::timeout(CONNECT_LIMIT, sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                return Ok(PooledConnection {
+                    address,
+                    reused: true,
+                    sender,
+                    count: idle.count,
+                });
+            }
+        }
+        let count = self.count_in(address, need.limit)?;
+        let opened = compio::time::timeout(CONNECT_LIMIT, open(address)).await;
+        let sender = opened.map_err(|_| ConnectError::Timeout { address })??;
+        Ok(PooledConnection {
+            address,
+            reused: false,
+            sender,
+            count,
+        })
+    }
+
+    /// Puts a connection back whose exchange has ended whole.
+    pub fn put(&self, connection: PooledConnection) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        let mut addresses = self.addresses.borrow_mut();
+        let pool = addresses.entry(connection.address).or_default();
+        if pool.idle.len() < IDLE_LIMIT {
+            pool.idle.push(IdleConnection {
+                sender: connection.sender,
+                count: connection.count,
+                idle_since: boot_time(),
+            });
+        }
+    }
+
+    /// Drops all idle connections to an address: one that went silent makes the others suspect.
+    pub fn flush(&self, address: SocketAddr) {
+        if let Some(pool) = self.addresses.borrow_mut().get_mut(&address) {
+            pool.idle.clear();
+        }
+    }
+
+    /// Drops idle connections that are too old to be used again.
+    pub fn prune(&self) {
+        let now = boot_time();
+        let mut addresses = self.addresses.borrow_mut();
+        for pool in addresses.values_mut() {
+            pool.idle.retain(|idle| now.saturating_sub(idle.idle_since) < IDLE_TIME);
+        }
+        addresses.retain(|_, pool| pool.open.get() > 0);
+    }
+
+    /// Gets the number of open connections to an address.
+    pub fn open_count(&self, address: SocketAddr) -> u32 {
+        let addresses = self.addresses.borrow();
+        addresses.get(&address).map_or(0, |pool| pool.open.get())
+    }
+
+    // The connection used last is the least likely to have gone silent.
+    fn take_idle(&self, address: SocketAddr, within: Duration) -> Option<IdleConnection> {
+        let now = boot_time();
+        let mut addresses = self.addresses.borrow_mut();
+        let pool = addresses.get_mut(&address)?;
+        while let Some(idle) = pool.idle.pop() {
+            let age = now.saturating_sub(idle.idle_since);
+            if age >= IDLE_TIME || idle.sender.is_closed() {
+                continue;
+            }
+            if age > within {
+                pool.idle.push(idle);
+                return None;
+            }
+            return Some(idle);
+        }
+        None
+    }
+
+    fn count_in(&self, address: SocketAddr, limit: u32) -> Result<ConnectionCount, ConnectError> {
+        let mut addresses = self.addresses.borrow_mut();
+        let pool = addresses.entry(address).or_default();
+        // An idle connection makes room for a new one.
+        if pool.open.get() >= limit && !pool.idle.is_empty() {
+            pool.idle.remove(0);
+        }
+        if pool.open.get() >= limit {
+            return Err(ConnectError::Full { address });
+        }
+        Ok(ConnectionCount::new(&pool.open))
+    }
+}
+
+async fn open(address: SocketAddr) -> Result<SendRequest<UpstreamBody>, ConnectError> {
+    let refused = |cause: String| ConnectError::Refused { address, cause };
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| refused(error.to_string()))?;
+    set_options(&stream).map_err(|error| refused(error.to_string()))?;
+    let (sender, connection) = http1::Builder::new()
+        .handshake(HyperStream::new_plain(stream))
+        .await
+        .map_err(|error| refused(error.to_string()))?;
+    // The connection's own errors reach the exchange through its sender.
+    let drive = async move {
+        let _ = connection.await;
+    };
+    compio::runtime::spawn(drive).detach();
+    Ok(sender)
+}
+
+fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let descriptor = stream.to_poll_fd()?;
+    let socket = SockRef::from(&descriptor);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE_TIME))
+}
--- /dev/null
+++ b/crates/entry/src/quotas.rs
@@ -0,0 +1,653 @@
+//! The shares of quotas at this host: reservations of requests, the pace of links, and the
+//! messages about loans.
+
+use crate::{
+    configuration::ConfigService, identity::HostIdentity, members::MemberService,
+    metrics::EntryMetrics, names,
+};
+use event_listener::Event;
+use fighall_config::assembly::FleetConfig;
+use fighall_core::{
+    clock::boot_time,
+    event::{EventKind, EventSubject},
+    ids::{BootTime, Generation, HostId, MemberId, OrgId, RegionId},
+    ring::EventRing,
+    value,
+};
+use fighall_kernel::{errors::Result, kernel::MicroKernel};
+use fighall_peer::{
+    mesh::PeerMesh,
+    message::{OrgDemand, PeerMessage},
+};
+use fighall_quota::{
+    amount::{QuotaLimit, TOKEN},
+    book::{BaseGrant, BookOptions, OutgoingLoan, QuotaBook},
+    loan::{LoanMessage, QuotaKey},
+    rate::{RateOptions, ShareView},
+    slots::{SlotTicket, SlotView},
+};
+use futures_util::{FutureExt, future::LocalBoxFuture, pin_mut, select_biased};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+
+/// Interval at which loans are asked for.
+const ASK_INTERVAL: Duration = Duration::from_millis(20);
+/// Rounds of asking between two rounds of renewals and returns.
+const UPKEEP_ROUNDS: u32 = 5;
+/// Longest sleep of a request that waits for a token.
+const WAIT_STEP: Duration = Duration::from_millis(20);
+/// Age of a peer's last sign beyond which it is not asked for loans.
+const ALIVE: Duration = Duration::from_secs(2);
+/// Bytes that one token of a link stands for.
+const LINK_TOKEN_BYTES: u64 = 1_024;
+/// Most link tokens that are spent at once.
+const LINK_PART: u64 = 16 * TOKEN;
+/// Bits in a megabit over the bits of one link token.
+const LINK_TOKENS_PER_MBIT: u64 = 1_000_000 / (8 * LINK_TOKEN_BYTES);
+/// Part of an organisation's rate, in percent, below which its demand counts as within it.
+const WITHIN_RATE_PERCENT: u64 = 95;
+
+value! {
+    /// `RateRefusal` is why no token was had in time.
+    pub struct RateRefusal {
+        /// When the next token is due.
+        pub retry_after: Duration,
+        /// Whether the organisation was within its rate over the fleet.
+        pub within_rate: bool,
+    }
+}
+
+/// `QuotaService` holds this host's book of shares.
+#[derive(Debug)]
+pub struct QuotaService {
+    identity: Rc<HostIdentity>,
+    ring: Rc<EventRing>,
+    mesh: Rc<PeerMesh>,
+    config: Rc<ConfigService>,
+    members: Rc<MemberService>,
+    metrics: Rc<EntryMetrics>,
+    book: RefCell<QuotaBook>,
+    // Tokens held back for requests that wait for a slot, by organisation.
+    covered: RefCell<BTreeMap<OrgId, u64>>,
+    regions: RefCell<BTreeMap<String, RegionId>>,
+    book_generation: Cell<Generation>,
+    book_member: Cell<Option<MemberId>>,
+    changed: Event,
+}
+
+/// `TokenReservation` holds a token back for a request until it is sent. Dropping it lets the
+/// token go.
+#[derive(Debug)]
+pub struct TokenReservation {
+    quotas: Rc<QuotaService>,
+    organisation: OrgId,
+}
+
+impl Drop for TokenReservation {
+    fn drop(&mut self) {
+        self.quotas.uncover(&self.organisation);
+    }
+}
+
+// Counts an amount as waited for while it lives.
+struct WaitMark<'q> {
+    quotas: &'q QuotaService,
+    key: &'q QuotaKey,
+    amount: u64,
+}
+
+impl<'q> WaitMark<'q> {
+    fn new(quotas: &'q QuotaService, key: &'q QuotaKey, amount: u64) -> Self {
+        let mut book = quotas.book.borrow_mut();
+        book.start_wait(boot_time(), key, amount);
+        Self {
+            quotas,
+            key,
+            amount,
+        }
+    }
+}
+
+impl Drop for WaitMark<'_> {
+    fn drop(&mut self) {
+        let mut book = self.quotas.book.borrow_mut();
+        book.end_wait(boot_time(), self.key, self.amount);
+    }
+}
+
+impl QuotaService {
+    /// Creates a service with an empty book.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a service that it needs is missing.
+    pub fn new(kernel: &MicroKernel) -> Result<Self> {
+        let identity: Rc<HostIdentity> = kernel.find(names::IDENTITY)?;
+        let book = QuotaBook::new(
+            BookOptions::default(),
+            &identity.host,
+            identity.incarnation,
+        );
+        Ok(Self {
+            ring: kernel.find(names::EVENTS)?,
+            mesh: kernel.find(names::MESH)?,
+            config: kernel.find(names::CONFIGURATION)?,
+            members: kernel.find(names::MEMBERS)?,
+            metrics: kernel.find(names::METRICS)?,
+            identity,
+            book: RefCell::new(book),
+            covered: RefCell::new(BTreeMap::new()),
+            regions: RefCell::new(BTreeMap::new()),
+            book_generation: Cell::new(0),
+            book_member: Cell::new(None),
+            changed: Event::new(),
+        })
+    }
+
+    /// Asks, renews and returns loans until the process stops.
+    pub async fn keep(self: Rc<Self>) {
+        let mut round = 0_u32;
+        loop {
+            self.sync();
+            let now = boot_time();
+            let peers = self.peers_in_order(now);
+            let mut outgoing = {
+                let regions = self.regions.borrow();
+                let sharers = |key: &QuotaKey, peer: &HostId| self.shares(&regions, key, peer);
+                self.book.borrow_mut().asks(now, &peers, sharers)
+            };
+            round += 1;
+            if round >= UPKEEP_ROUNDS {
+                round = 0;
+                outgoing.extend(self.book.borrow_mut().upkeep(now));
+                self.confirm_generation(now);
+            }
+            self.send(outgoing);
+            self.changed.notify(usize::MAX);
+            compio::time::sleep(ASK_INTERVAL).await;
+        }
+    }
+
+    /// Handles a peer's message about loans.
+    pub fn handle(&self, peer: &str, message: &LoanMessage) {
+        let now = boot_time();
+        self.record(peer, message);
+        let answer = self.book.borrow_mut().handle(now, peer, message);
+        if let Some(answer) = answer {
+            self.record(peer, &answer);
+            self.send(vec![OutgoingLoan::new(peer, answer)]);
+        }
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Holds a token of an organisation back for a request, once those before it have theirs.
+    /// Waits for a loan no longer than the configuration's bound and `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when no token can be had in time; it is decided as early as it is known.
+    pub async fn reserve(
+        self: &Rc<Self>,
+        organisation: &str,
+        deadline: BootTime,
+    ) -> std::result::Result<TokenReservation, RateRefusal> {
+        let key = QuotaKey::Organisation(organisation.to_owned());
+        let started_at = boot_time();
+        self.book.borrow_mut().note_demand(started_at, &key, TOKEN);
+        if self.cover(organisation, &key) {
+            return Ok(self.reservation(organisation));
+        }
+        let bound = self.loan_wait();
+        let give_up_at = deadline.min(started_at + bound);
+        let _mark = WaitMark::new(self, &key, TOKEN);
+        loop {
+            let now = boot_time();
+            if now >= give_up_at || self.is_hopeless(organisation, &key, give_up_at) {
+                return Err(self.rate_refusal(organisation, &key));
+            }
+            self.pause(WAIT_STEP.min(give_up_at - now)).await;
+            if self.cover(organisation, &key) {
+                return Ok(self.reservation(organisation));
+            }
+        }
+    }
+
+    /// Spends the token of a reservation, at the time of sending. A loan may have ended since; a
+    /// new token is waited for as in [`QuotaService::reserve`].
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when no token was had in time.
+    pub async fn redeem(
+        &self,
+        reservation: TokenReservation,
+        deadline: BootTime,
+    ) -> std::result::Result<(), RateRefusal> {
+        let organisation = reservation.organisation.clone();
+        let key = QuotaKey::Organisation(organisation.clone());
+        let give_up_at = deadline.min(boot_time() + self.loan_wait());
+        loop {
+            let now = boot_time();
+            if self.may_spend(now) && self.book.borrow_mut().spend(now, &key, TOKEN) {
+                return Ok(());
+            }
+            if now >= give_up_at {
+                return Err(self.rate_refusal(&organisation, &key));
+            }
+            self.pause(WAIT_STEP.min(give_up_at - now)).await;
+        }
+    }
+
+    /// Gets the pace of the link to another region.
+    pub fn pace(self: &Rc<Self>, to: &str) -> LinkPace {
+        LinkPace {
+            quotas: Rc::clone(self),
+            region: to.to_owned(),
+            key: QuotaKey::Link {
+                from: self.identity.region.clone(),
+                to: to.to_owned(),
+            },
+        }
+    }
+
+    /// Tells whether the share of the link to another region has room now.
+    pub fn has_link_room(&self, to: &str) -> bool {
+        let key = QuotaKey::Link {
+            from: self.identity.region.clone(),
+            to: to.to_owned(),
+        };
+        let now = boot_time();
+        let wait = self.book.borrow_mut().wait_for(now, &key, TOKEN);
+        wait.is_some_and(|wait| wait < Duration::from_millis(50))
+    }
+
+    /// Takes a slot of a target for a request that ends by `deadline`.
+    pub fn occupy(&self, target: &str, deadline: BootTime) -> Option<SlotTicket> {
+        let now = boot_time();
+        if !self.may_spend(now) {
+            return None;
+        }
+        let key = QuotaKey::Slots(target.to_owned());
+        self.book.borrow_mut().occupy(now, &key, deadline)
+    }
+
+    /// Gives a slot free.
+    pub fn release(&self, target: &str, ticket: SlotTicket) {
+        let key = QuotaKey::Slots(target.to_owned());
+        self.book.borrow_mut().release(&key, ticket);
+    }
+
+    /// Gets the slots of a target held here.
+    pub fn slots(&self, target: &str) -> SlotView {
+        let now = boot_time();
+        let key = QuotaKey::Slots(target.to_owned());
+        self.book.borrow_mut().slot_view(now, &key)
+    }
+
+    /// Sets the number of requests that wait for slots of a target.
+    pub fn set_slot_waiting(&self, target: &str, waiting: u32) {
+        let key = QuotaKey::Slots(target.to_owned());
+        self.book.borrow_mut().set_slot_waiting(&key, waiting);
+    }
+
+    /// Gets the shares of all rates held here.
+    pub fn views(&self) -> Vec<(QuotaKey, ShareView)> {
+        let now = boot_time();
+        let mut book = self.book.borrow_mut();
+        let mut views = Vec::new();
+        for key in book.keys() {
+            if let Some(view) = book.rate_view(now, &key) {
+                views.push((key, view));
+            }
+        }
+        views
+    }
+
+    /// Gets the tokens of an organisation held here, in thousandths.
+    pub fn share_left(&self, organisation: &str) -> u64 {
+        let key = QuotaKey::Organisation(organisation.to_owned());
+        let view = self.book.borrow_mut().rate_view(boot_time(), &key);
+        view.map_or(0, |view| view.tokens / 1_000)
+    }
+
+    /// Lists the demand of organisations here, for peers.
+    pub fn demands(&self) -> Vec<OrgDemand> {
+        let mut demands = Vec::new();
+        for (key, view) in self.views() {
+            let QuotaKey::Organisation(organisation) = key else {
+                continue;
+            };
+            if view.demand * 100 >= view.limit.rate.max(1) {
+                demands.push(OrgDemand {
+                    organisation,
+                    rate: view.demand,
+                });
+            }
+        }
+        demands
+    }
+
+    /// Returns all loans at a planned stop.
+    pub fn give_all_back(&self) {
+        let outgoing = self.book.borrow_mut().give_all_back(boot_time());
+        self.send(outgoing);
+    }
+
+    /// Gets the time until all loans of this host have ended for certain.
+    pub fn outstanding(&self) -> Duration {
+        self.book.borrow().outstanding(boot_time())
+    }
+
+    fn spend_link(&self, key: &QuotaKey, amount: u64) -> bool {
+        let now = boot_time();
+        self.may_spend(now) && self.book.borrow_mut().spend(now, key, amount)
+    }
+
+    fn may_spend(&self, now: BootTime) -> bool {
+        self.members.active_member(now).is_some()
+    }
+
+    fn cover(&self, organisation: &str, key: &QuotaKey) -> bool {
+        let now = boot_time();
+        if !self.may_spend(now) {
+            return false;
+        }
+        let mut covered = self.covered.borrow_mut();
+        let ahead = covered.get(organisation).copied().unwrap_or(0);
+        let mut book = self.book.borrow_mut();
+        let held = book.rate_view(now, key).map_or(0, |view| view.tokens);
+        if held < ahead + TOKEN {
+            return false;
+        }
+        *covered.entry(organisation.to_owned()).or_default() += TOKEN;
+        true
+    }
+
+    fn uncover(&self, organisation: &str) {
+        let mut covered = self.covered.borrow_mut();
+        if let Some(amount) = covered.get_mut(organisation) {
+            *amount = amount.saturating_sub(TOKEN);
+            if *amount == 0 {
+                covered.remove(organisation);
+            }
+        }
+    }
+
+    fn reservation(self: &Rc<Self>, organisation: &str) -> TokenReservation {
+        TokenReservation {
+            quotas: Rc::clone(self),
+            organisation: organisation.to_owned(),
+        }
+    }
+
+    // The own share will not bring a token in time, and everyone asked has nothing to lend.
+    fn is_hopeless(&self, organisation: &str, key: &QuotaKey, give_up_at: BootTime) -> bool {
+        let now = boot_time();
+        let ahead = self.covered.borrow().get(organisation).copied().unwrap_or(0);
+        let mut book = self.book.borrow_mut();
+        let wait = book.wait_for(now, key, ahead);
+        let in_time = wait.is_some_and(|wait| now + wait <= give_up_at);
+        !in_time && book.asked_in_vain(now, key)
+    }
+
+    fn rate_refusal(&self, organisation: &str, key: &QuotaKey) -> RateRefusal {
+        let now = boot_time();
+        let view = self.book.borrow_mut().rate_view(now, key);
+        let wait = self.book.borrow_mut().wait_for(now, key, TOKEN);
+        let within_rate = view.is_some_and(|view| {
+            let fleet = view.demand + self.demand_elsewhere(organisation);
+            fleet * 100 < view.limit.rate * WITHIN_RATE_PERCENT
+        });
+        if within_rate {
+            self.metrics
+                .refused_within_rate
+                .with_label_values(&[organisation])
+                .inc();
+        }
+        RateRefusal {
+            retry_after: wait.unwrap_or(Duration::from_secs(1)),
+            within_rate,
+        }
+    }
+
+    fn demand_elsewhere(&self, organisation: &str) -> u64 {
+        let mut sum = 0;
+        self.mesh.with_views(|views| {
+            for view in views {
+                for demand in &view.state.demands {
+                    if demand.organisation == organisation {
+                        sum += demand.rate;
+                    }
+                }
+            }
+        });
+        sum
+    }
+
+    fn loan_wait(&self) -> Duration {
+        let config = self.config.config();
+        let millis = config.map_or(250, |config| config.fleet.loan_wait_ms);
+        Duration::from_millis(millis)
+    }
+
+    async fn pause(&self, longest: Duration) {
+        let changed = self.changed.listen().fuse();
+        let elapsed = compio::time::sleep(longest).fuse();
+        pin_mut!(changed, elapsed);
+        select_biased! {
+            () = changed => {}
+            () = elapsed => {}
+        }
+    }
+
+    // Brings the book in line with the configuration and the member id.
+    fn sync(&self) {
+        let now = boot_time();
+        let member = self.members.member();
+        let config = self.config.config();
+        if member != self.book_member.get() {
+            self.book.borrow_mut().deactivate(now);
+            self.reset_book(config.as_deref());
+            self.book_member.set(member);
+        }
+        let (Some(config), Some(member)) = (config, member) else {
+            return;
+        };
+        if config.generation > self.book_generation.get() {
+            self.set_bases(now, &config, member);
+        }
+        let usable = self.members.active_member(now).is_some();
+        if usable && !self.book.borrow().is_active() {
+            self.book.borrow_mut().activate(now);
+        }
+    }
+
+    // Another member id has other base shares: the book starts anew, with the loans it gave left
+    // to end by time.
+    fn reset_book(&self, config: Option<&FleetConfig>) {
+        let mut options = BookOptions::default();
+        if let Some(config) = config {
+            options.rates = RateOptions::with_term(Duration::from_millis(config.fleet.loan_ms));
+            options.slots = RateOptions::with_term(Duration::from_millis(config.fleet.slot_loan_ms));
+        }
+        let identity = &self.identity;
+        let mut book = self.book.borrow_mut();
+        if book.keys().is_empty() {
+            *book = QuotaBook::new(options, &identity.host, identity.incarnation);
+        }
+        self.book_generation.set(0);
+    }
+
+    fn set_bases(&self, now: BootTime, config: &FleetConfig, member: MemberId) {
+        let grants = base_grants(config, &self.identity.region, member);
+        self.book
+            .borrow_mut()
+            .set_bases(now, config.generation, &grants);
+        self.book_generation.set(config.generation);
+        let mut regions = BTreeMap::new();
+        for service in config.services.values() {
+            for target in &service.targets {
+                regions.insert(target.name.clone(), target.region.clone());
+            }
+        }
+        *self.regions.borrow_mut() = regions;
+    }
+
+    fn confirm_generation(&self, now: BootTime) {
+        let mut lowest = self.config.generation();
+        let members = self.members.leases();
+        self.mesh.with_views(|views| {
+            for view in views {
+                let holds = members.iter().any(|lease| lease.host == view.peer.host);
+                if holds {
+                    lowest = lowest.min(view.state.generation);
+                }
+            }
+        });
+        self.book.borrow_mut().confirm(now, lowest);
+    }
+
+    fn peers_in_order(&self, now: BootTime) -> Vec<HostId> {
+        let mut peers = Vec::new();
+        self.mesh.with_views(|views| {
+            for view in views {
+                if view.is_alive(now, ALIVE) && view.state.member.is_some() {
+                    let far = view.peer.region != self.identity.region;
+                    let other_zone = view.peer.zone != self.identity.zone;
+                    peers.push((far, other_zone, view.round_trip, view.peer.host.clone()));
+                }
+            }
+        });
+        peers.sort();
+        peers.into_iter().map(|(_, _, _, host)| host).collect()
+    }
+
+    fn shares(&self, regions: &BTreeMap<String, RegionId>, key: &QuotaKey, peer: &str) -> bool {
+        let region = match key {
+            QuotaKey::Organisation(_) => return true,
+            QuotaKey::Link { from, .. } => Some(from),
+            QuotaKey::Slots(target) => regions.get(target),
+        };
+        let view = self.mesh.view(peer);
+        view.is_some_and(|view| Some(&view.peer.region) == region)
+    }
+
+    fn send(&self, outgoing: Vec<OutgoingLoan>) {
+        for loan in outgoing {
+            self.metrics.loan_messages.inc();
+            self.mesh.send(&loan.peer, PeerMessage::Loan(loan.message));
+        }
+    }
+
+    fn record(&self, peer: &str, message: &LoanMessage) {
+        let LoanMessage::Answer(answer) = message else {
+            return;
+        };
+        if answer.grants.is_empty() {
+            return;
+        }
+        let tokens: u64 = answer.grants.iter().map(|grant| grant.tokens).sum();
+        let quota = answer.key.to_string();
+        let tokens = tokens / 1_000;
+        let kind = if answer.ask.host == self.identity.host {
+            EventKind::LoanAccepted { quota, tokens }
+        } else {
+            EventKind::LoanGranted { quota, tokens }
+        };
+        let subject = EventSubject {
+            peer: Some(peer.to_owned()),
+            ..EventSubject::default()
+        };
+        self.ring.record(subject, kind);
+    }
+}
+
+/// `LinkPace` holds traffic into one link to this host's share of it.
+#[derive(Debug, Clone)]
+pub struct LinkPace {
+    quotas: Rc<QuotaService>,
+    region: RegionId,
+    key: QuotaKey,
+}
+
+impl LinkPace {
+    /// Waits until `bytes` may be sent.
+    pub fn wait(self, bytes: usize) -> LocalBoxFuture<'static, ()> {
+        async move {
+            let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+            let mut left = bytes.saturating_mul(TOKEN) / LINK_TOKEN_BYTES;
+            let now = boot_time();
+            let quotas = &self.quotas;
+            quotas.book.borrow_mut().note_demand(now, &self.key, left);
+            // Large frames are paid in parts that fit into a small share's burst.
+            while left > 0 {
+                let part = left.min(LINK_PART);
+                self.spend(part).await;
+                left -= part;
+            }
+            let region = self.region.as_str();
+            quotas.metrics.link_bytes.with_label_values(&[region]).inc_by(bytes);
+        }
+        .boxed_local()
+    }
+
+    async fn spend(&self, amount: u64) {
+        let quotas = &self.quotas;
+        if quotas.spend_link(&self.key, amount) {
+            return;
+        }
+        let _mark = WaitMark::new(quotas, &self.key, amount);
+        while !quotas.spend_link(&self.key, amount) {
+            quotas.pause(WAIT_STEP).await;
+        }
+    }
+}
+
+/// Lists the base shares that a configuration gives a member of a region.
+pub fn base_grants(config: &FleetConfig, region: &str, member: MemberId) -> Vec<BaseGrant> {
+    let fleet = &config.fleet;
+    let within = fleet.members_of(region);
+    let near = member.saturating_sub(within.start);
+    let near_members = within.end.saturating_sub(within.start);
+    let mut grants = Vec::new();
+    for organisation in &fleet.organisations {
+        grants.push(BaseGrant {
+            key: QuotaKey::Organisation(organisation.name.clone()),
+            limit: QuotaLimit::new(organisation.rate, organisation.burst),
+            member,
+            members: fleet.members(),
+        });
+    }
+    for link in &fleet.links {
+        if link.from != region {
+            continue;
+        }
+        grants.push(BaseGrant {
+            key: QuotaKey::Link {
+                from: link.from.clone(),
+                to: link.to.clone(),
+            },
+            limit: QuotaLimit::new(link.mbit * LINK_TOKENS_PER_MBIT, link.burst_kib),
+            member: near,
+            members: near_members,
+        });
+    }
+    for service in config.services.values() {
+        for target in &service.targets {
+            if target.region != region {
+                continue;
+            }
+            grants.push(BaseGrant {
+                key: QuotaKey::Slots(target.name.clone()),
+                limit: QuotaLimit::new(0, u64::from(target.slots)),
+                member: near,
+                members: near_members,
+            });
+        }
+    }
+    grants
+}
--- /dev/null
+++ b/crates/entry/src/targets.rs
@@ -0,0 +1,780 @@
+//! The targets: who gets the next request, and who waits.
+
+use crate::{
+    configuration::ConfigService, identity::HostIdentity, metrics::EntryMetrics,
+    mirrors::MirrorService, names, quotas::QuotaService, request::RequestContext,
+};
+use event_listener::Event;
+use fighall_config::{
+    commands::{DrainScope, OperatorCommand},
+    listing::{HostRole, HostState as ListedState, ListedHost},
+    service::ServiceTarget,
+};
+use fighall_core::{
+    clock::boot_time,
+    event::{EventKind, EventSubject, RunnerUp},
+    ids::{BootTime, RegionId, ServiceId, TargetId},
+    ring::EventRing,
+    value,
+};
+use fighall_kernel::{errors::Result, kernel::MicroKernel};
+use fighall_peer::{
+    mesh::PeerMesh,
+    message::{ServiceRoom, TargetUse},
+};
+use fighall_platform::object::kinds;
+use fighall_quota::slots::SlotTicket;
+use fighall_route::{
+    board::{AbsenceCause, TargetBoard, TargetReport},
+    fair::FairQueue,
+    placement::{
+        CandidateView, PlacementPolicy, PlacementQuery, SlotRoom, TargetPlacement, candidates,
+        place,
+    },
+};
+use futures_util::{FutureExt, pin_mut, select_biased};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+/// Interval at which waiting requests are looked at without another cause.
+const PUMP_INTERVAL: Duration = Duration::from_millis(20);
+/// Targets for which slots are asked while requests wait.
+const ASK_TARGETS: usize = 3;
+/// Service time that is assumed before any request has ended.
+const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Weight of a new service time in the moving average.
+const SERVICE_TIME_WEIGHT: f64 = 0.1;
+
+value! {
+    /// `AcquireFailure` is why no target was had.
+    pub enum AcquireFailure {
+        /// The wait would exceed the deadline.
+        TooLong {
+            /// Expected wait.
+            wait: Duration,
+        },
+        /// The queue holds too many requests.
+        Full,
+        /// The deadline passed while the request waited.
+        Expired,
+    }
+}
+
+/// `SlotLease` is a slot of a target in use by one request. Dropping it gives the slot free.
+#[derive(Debug)]
+pub struct SlotLease {
+    targets: Rc<TargetService>,
+    /// Target.
+    pub target: TargetId,
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// Region of the target.
+    pub region: RegionId,
+    /// Most connections to the target from this host.
+    pub connections: u32,
+    /// Why this target.
+    pub reason: String,
+    /// Candidates that lost.
+    pub runners_up: Vec<RunnerUp>,
+    service: ServiceId,
+    ticket: Option<SlotTicket>,
+    taken_at: BootTime,
+}
+
+impl SlotLease {
+    /// Notes that the target served the request, with the time to the answer's head.
+    pub fn note_success(&self, latency: Duration) {
+        self.targets.note_success(&self.target, latency);
+    }
+
+    /// Notes that the target failed the request.
+    pub fn note_failure(&self) {
+        self.targets.note_failure(&self.target);
+    }
+}
+
+impl Drop for SlotLease {
+    fn drop(&mut self) {
+        let held = boot_time().saturating_sub(self.taken_at);
+        if let Some(ticket) = self.ticket.take() {
+            self.targets.release(&self.service, &self.target, ticket, held);
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Waiter {
+    organisation: String,
+    weight: u64,
+    deadline: BootTime,
+    tried: Vec<TargetId>,
+    lease: RefCell<Option<SlotLease>>,
+    gone: Cell<bool>,
+    evicted: Cell<bool>,
+    ready: Event,
+}
+
+// Marks a waiter as gone when its request ends, so that no slot is handed to it.
+struct WaiterGuard(Rc<Waiter>);
+
+impl Drop for WaiterGuard {
+    fn drop(&mut self) {
+        self.0.gone.set(true);
+    }
+}
+
+#[derive(Debug)]
+struct ServiceQueue {
+    queue: FairQueue<Rc<Waiter>>,
+    service_time: f64,
+}
+
+/// `TargetService` places requests on the targets of this host's region.
+#[derive(Debug)]
+pub struct TargetService {
+    identity: Rc<HostIdentity>,
+    ring: Rc<EventRing>,
+    mesh: Rc<PeerMesh>,
+    mirrors: Rc<MirrorService>,
+    config: Rc<ConfigService>,
+    quotas: Rc<QuotaService>,
+    metrics: Rc<EntryMetrics>,
+    board: RefCell<TargetBoard>,
+    queues: RefCell<BTreeMap<ServiceId, ServiceQueue>>,
+    rng: RefCell<fastrand::Rng>,
+    policy: Cell<PlacementPolicy>,
+    queue_limit: usize,
+    drains: RefCell<BTreeMap<TargetId, BootTime>>,
+}
+
+impl TargetService {
+    /// Creates a service without targets; `queue_limit` bounds the waiting requests of a service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a service that it needs is missing.
+    pub fn new(kernel: &MicroKernel, queue_limit: usize) -> Result<Self> {
+        Ok(Self {
+            identity: kernel.find(names::IDENTITY)?,
+            ring: kernel.find(names::EVENTS)?,
+            mesh: kernel.find(names::MESH)?,
+            mirrors: kernel.find(names::MIRRORS)?,
+            config: kernel.find(names::CONFIGURATION)?,
+            quotas: kernel.find(names::QUOTAS)?,
+            metrics: kernel.find(names::METRICS)?,
+            board: RefCell::new(TargetBoard::new()),
+            queues: RefCell::new(BTreeMap::new()),
+            rng: RefCell::new(fastrand::Rng::new()),
+            policy: Cell::new(PlacementPolicy::TwoChoices),
+            queue_limit,
+            drains: RefCell::new(BTreeMap::new()),
+        })
+    }
+
+    /// Sets how targets are picked; measurements compare policies.
+    pub fn set_policy(&self, policy: PlacementPolicy) {
+        self.policy.set(policy);
+    }
+
+    /// Takes over configurations as they come into force.
+    pub async fn follow_config(self: Rc<Self>) {
+        loop {
+            let listener = self.config.listen();
+            if let Some(config) = self.config.config() {
+                let now = boot_time();
+                self.board.borrow_mut().set_services(now, &config.services);
+                self.apply_absences();
+            }
+            listener.await;
+        }
+    }
+
+    /// Takes over drains and the platform's list as they change.
+    pub async fn follow_kind(self: Rc<Self>, kind: String) {
+        loop {
+            let Some(listener) = self.mirrors.listen(&kind) else {
+                return;
+            };
+            self.apply_absences();
+            listener.await;
+        }
+    }
+
+    /// Looks after waiting requests until the process stops.
+    pub async fn keep(self: Rc<Self>) {
+        loop {
+            let services: Vec<_> = self.queues.borrow().keys().cloned().collect();
+            for service in services {
+                self.pump(&service);
+                self.ask_for_slots(&service);
+            }
+            self.note_drains();
+            self.set_gauges();
+            compio::time::sleep(PUMP_INTERVAL).await;
+        }
+    }
+
+    /// Takes a slot of a target of this region at once, if one is free and nobody waits.
+    pub fn acquire_now(
+        self: &Rc<Self>,
+        context: &RequestContext,
+        tried: &[TargetId],
+    ) -> Option<SlotLease> {
+        let waiting = {
+            let queues = self.queues.borrow();
+            queues.get(&context.service).is_some_and(|queue| !queue.queue.is_empty())
+        };
+        if waiting {
+            return None;
+        }
+        self.take_slot(&context.service, tried, context.deadline)
+    }
+
+    /// Waits in the fair queue for a slot of a target of this region.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure as early as it is known that the deadline cannot be met.
+    pub async fn acquire(
+        self: &Rc<Self>,
+        context: &RequestContext,
+        tried: &[TargetId],
+    ) -> std::result::Result<SlotLease, AcquireFailure> {
+        if let Some(lease) = self.acquire_now(context, tried) {
+            return Ok(lease);
+        }
+        let wait = self.expected_wait(&context.service, context.organisation_name(), context.weight);
+        let now = boot_time();
+        if now + wait > context.deadline {
+            return Err(AcquireFailure::TooLong { wait });
+        }
+        let waiter = Rc::new(Waiter {
+            organisation: context.organisation_name().to_owned(),
+            weight: context.weight,
+            deadline: context.deadline,
+            tried: tried.to_vec(),
+            lease: RefCell::new(None),
+            gone: Cell::new(false),
+            evicted: Cell::new(false),
+            ready: Event::new(),
+        });
+        let _guard = WaiterGuard(Rc::clone(&waiter));
+        self.enqueue(context, &waiter)?;
+        self.pump(&context.service);
+        self.wait_for_lease(&waiter).await
+    }
+
+    /// Gets the wait that a new request of an organisation must expect.
+    pub fn expected_wait(&self, service: &str, organisation: &str, weight: u64) -> Duration {
+        let queues = self.queues.borrow();
+        let Some(entry) = queues.get(service) else {
+            return Duration::ZERO;
+        };
+        let ahead = entry.queue.ahead(organisation, weight);
+        let slots = self.held_slots(service).max(1);
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        let rounds = f64::from(ahead) / f64::from(slots);
+        Duration::from_secs_f64((rounds * entry.service_time).min(3_600.0))
+    }
+
+    /// Tells whether this region has a target of a service that takes work.
+    pub fn serves(&self, service: &str, region: &str) -> usize {
+        let board = self.board.borrow();
+        let mut count = 0;
+        for name in board.targets_of(service) {
+            let record = board.get(name);
+            let takes = record.is_some_and(|record| {
+                record.target.region == region && record.absence.is_none()
+            });
+            count += usize::from(takes);
+        }
+        count
+    }
+
+    /// Lists the regions that have targets of a service.
+    pub fn regions_of(&self, service: &str) -> Vec<RegionId> {
+        let board = self.board.borrow();
+        let mut regions = Vec::new();
+        for name in board.targets_of(service) {
+            let Some(record) = board.get(name) else {
+                continue;
+            };
+            if !regions.contains(&record.target.region) {
+                regions.push(record.target.region.clone());
+            }
+        }
+        regions
+    }
+
+    /// Gets the usual latency of a service.
+    pub fn usual_latency(&self, service: &str) -> Option<Duration> {
+        self.board.borrow().usual_latency(service)
+    }
+
+    /// Lists the candidates for a request with what stands in the way of each.
+    pub fn explain(&self, service: &str, region: &RegionId) -> Vec<CandidateView> {
+        let query = PlacementQuery {
+            service,
+            region,
+            zone: &self.identity.zone,
+            tried: &[],
+            policy: self.policy.get(),
+        };
+        let board = self.board.borrow();
+        candidates(&board, boot_time(), &query, |target| self.room(target))
+    }
+
+    /// Runs `read` over the board.
+    pub fn with_board<T>(&self, read: impl FnOnce(&mut TargetBoard) -> T) -> T {
+        read(&mut self.board.borrow_mut())
+    }
+
+    /// Takes in a peer's use of targets.
+    pub fn take_reports(&self, peer: &str, uses: &[TargetUse]) {
+        let mut reports = Vec::new();
+        for used in uses {
+            reports.push(TargetReport {
+                target: used.target.clone(),
+                in_flight: used.in_flight,
+                ejected: used.ejected,
+            });
+        }
+        let now = boot_time();
+        self.board.borrow_mut().set_reports(now, peer, &reports);
+    }
+
+    /// Creates this host's report of its use of targets.
+    pub fn uses(&self) -> Vec<TargetUse> {
+        let reports = self.board.borrow().reports(boot_time());
+        let mut uses = Vec::new();
+        for report in reports {
+            uses.push(TargetUse {
+                target: report.target,
+                in_flight: report.in_flight,
+                ejected: report.ejected,
+            });
+        }
+        uses
+    }
+
+    /// Gets the free slots held here by service.
+    pub fn rooms(&self) -> Vec<ServiceRoom> {
+        let services = match self.config.config() {
+            Some(config) => config.services.keys().cloned().collect(),
+            None => Vec::new(),
+        };
+        let mut rooms = Vec::new();
+        for service in services {
+            let free = self.free_slots(&service);
+            rooms.push(ServiceRoom { service, free });
+        }
+        rooms
+    }
+
+    /// Tells whether requests wait here for longer than they should.
+    pub fn is_overloaded(&self) -> bool {
+        let queues = self.queues.borrow();
+        queues
+            .values()
+            .any(|entry| entry.queue.len() * 4 > self.queue_limit)
+    }
+
+    fn enqueue(
+        &self,
+        context: &RequestContext,
+        waiter: &Rc<Waiter>,
+    ) -> std::result::Result<(), AcquireFailure> {
+        let mut queues = self.queues.borrow_mut();
+        let entry = queues
+            .entry(context.service.clone())
+            .or_insert_with(|| ServiceQueue {
+                queue: FairQueue::new(self.queue_limit),
+                service_time: ASSUMED_SERVICE_TIME.as_secs_f64(),
+            });
+        let pushed = entry.queue.push(
+            context.organisation_name(),
+            context.weight,
+            context.deadline,
+            Rc::clone(waiter),
+        );
+        match pushed {
+            Ok(None) => Ok(()),
+            Ok(Some(evicted)) => {
+                evicted.evicted.set(true);
+                evicted.ready.notify(1);
+                Ok(())
+            }
+            Err(_) => Err(AcquireFailure::Full),
+        }
+    }
+
+    async fn wait_for_lease(
+        &self,
+        waiter: &Waiter,
+    ) -> std::result::Result<SlotLease, AcquireFailure> {
+        loop {
+            let listener = waiter.ready.listen();
+            if let Some(lease) = waiter.lease.borrow_mut().take() {
+                return Ok(lease);
+            }
+            if waiter.evicted.get() {
+                return Err(AcquireFailure::Full);
+            }
+            let left = waiter.deadline.saturating_sub(boot_time());
+            if left.is_zero() {
+                return Err(AcquireFailure::Expired);
+            }
+            let ready = listener.fuse();
+            let elapsed = compio::time::sleep(left).fuse();
+            pin_mut!(ready, elapsed);
+            select_biased! {
+                () = ready => {}
+                () = elapsed => {}
+            }
+        }
+    }
+
+    // Hands free slots to those who wait, in their fair order.
+    fn pump(self: &Rc<Self>, service: &str) {
+        while self.can_place(service) {
+            let Some(waiter) = self.next_waiter(service) else {
+                return;
+            };
+            let lease = self
+                .take_slot(service, &waiter.tried, waiter.deadline)
+                .or_else(|| self.take_slot(service, &[], waiter.deadline));
+            let Some(lease) = lease else {
+                // The free slots are borrowed and end too early for this request.
+                self.put_back(service, waiter);
+                return;
+            };
+            *waiter.lease.borrow_mut() = Some(lease);
+            waiter.ready.notify(1);
+        }
+    }
+
+    fn can_place(&self, service: &str) -> bool {
+        let waiting = {
+            let queues = self.queues.borrow();
+            queues.get(service).is_some_and(|entry| !entry.queue.is_empty())
+        };
+        waiting && self.pick(service, &[]).is_some()
+    }
+
+    fn next_waiter(&self, service: &str) -> Option<Rc<Waiter>> {
+        let mut expired = Vec::new();
+        let mut queues = self.queues.borrow_mut();
+        let entry = queues.get_mut(service)?;
+        entry.queue.remove(|waiter| waiter.gone.get());
+        let waiter = entry.queue.pop(boot_time(), &mut expired);
+        for waiter in expired {
+            waiter.ready.notify(1);
+        }
+        waiter
+    }
+
+    fn put_back(&self, service: &str, waiter: Rc<Waiter>) {
+        let mut queues = self.queues.borrow_mut();
+        if let Some(entry) = queues.get_mut(service) {
+            let organisation = waiter.organisation.clone();
+            let (weight, deadline) = (waiter.weight, waiter.deadline);
+            entry.queue.push_front(&organisation, weight, deadline, waiter);
+        }
+    }
+
+    fn pick(&self, service: &str, tried: &[TargetId]) -> Option<TargetPlacement> {
+        let query = PlacementQuery {
+            service,
+            region: &self.identity.region,
+            zone: &self.identity.zone,
+            tried,
+            policy: self.policy.get(),
+        };
+        let mut board = self.board.borrow_mut();
+        let mut rng = self.rng.borrow_mut();
+        place(&mut board, boot_time(), &query, &mut rng, |target| self.room(target))
+    }
+
+    fn take_slot(
+        self: &Rc<Self>,
+        service: &str,
+        tried: &[TargetId],
+        deadline: BootTime,
+    ) -> Option<SlotLease> {
+        let mut refused: Vec<TargetId> = tried.to_vec();
+        loop {
+            let placement = self.pick(service, &refused)?;
+            match self.quotas.occupy(&placement.target, deadline) {
+                Some(ticket) => return self.new_lease(service, placement, ticket),
+                // The free slots are borrowed and end too early for this request.
+                None => refused.push(placement.target),
+            }
+        }
+    }
+
+    fn new_lease(
+        self: &Rc<Self>,
+        service: &str,
+        placement: TargetPlacement,
+        ticket: SlotTicket,
+    ) -> Option<SlotLease> {
+        let mut board = self.board.borrow_mut();
+        let record = board.get_mut(&placement.target)?;
+        record.in_flight += 1;
+        Some(SlotLease {
+            targets: Rc::clone(self),
+            target: placement.target,
+            address: record.target.address,
+            region: record.target.region.clone(),
+            connections: self.connection_share(&record.target),
+            reason: placement.reason,
+            runners_up: placement.runners_up,
+            service: service.to_owned(),
+            ticket: Some(ticket),
+            taken_at: boot_time(),
+        })
+    }
+
+    fn connection_share(&self, target: &ServiceTarget) -> u32 {
+        let members = self.config.config().map_or(1, |config| {
+            let members = config.fleet.members_of(&target.region);
+            members.end - members.start
+        });
+        (target.connections / members.max(1)).max(1)
+    }
+
+    fn release(
+        self: &Rc<Self>,
+        service: &str,
+        target: &str,
+        ticket: SlotTicket,
+        held: Duration,
+    ) {
+        self.quotas.release(target, ticket);
+        if let Some(record) = self.board.borrow_mut().get_mut(target) {
+            record.in_flight = record.in_flight.saturating_sub(1);
+        }
+        if let Some(entry) = self.queues.borrow_mut().get_mut(service) {
+            let seconds = held.as_secs_f64();
+            entry.service_time += (seconds - entry.service_time) * SERVICE_TIME_WEIGHT;
+        }
+        self.pump(service);
+    }
+
+    fn note_success(&self, target: &str, latency: Duration) {
+        let now = boot_time();
+        let usual = {
+            let board = self.board.borrow();
+            let service = board.get(target).map(|record| record.service.clone());
+            service.and_then(|service| board.usual_latency(&service))
+        };
+        let mut board = self.board.borrow_mut();
+        let Some(record) = board.get_mut(target) else {
+            return;
+        };
+        if let Some(usual) = usual {
+            record.ramp.set_reference(usual);
+        }
+        record.note_latency(latency);
+        if record.health.note_success(now) {
+            record.restart_ramp(now);
+            self.record_target(target, "returned");
+        }
+    }
+
+    fn note_failure(&self, target: &str) {
+        let now = boot_time();
+        let mut board = self.board.borrow_mut();
+        let ejected = board
+            .get_mut(target)
+            .is_some_and(|record| record.health.note_failure(now));
+        if ejected {
+            self.record_target(target, "ejected after failures");
+        }
+    }
+
+    /// Notes the result of a probe of a target.
+    pub fn note_probe(&self, target: &str, healthy: bool) {
+        let now = boot_time();
+        let mut board = self.board.borrow_mut();
+        let Some(record) = board.get_mut(target) else {
+            return;
+        };
+        if record.health.note_probe(now, healthy) {
+            let state = if healthy {
+                record.restart_ramp(now);
+                "returned by a probe"
+            } else {
+                "ejected after probes"
+            };
+            self.record_target(target, state);
+        }
+    }
+
+    fn room(&self, target: &str) -> SlotRoom {
+        let view = self.quotas.slots(target);
+        SlotRoom {
+            held: view.held,
+            free: view.free(),
+        }
+    }
+
+    fn held_slots(&self, service: &str) -> u32 {
+        let board = self.board.borrow();
+        let names = board.targets_of(service);
+        names.iter().map(|name| self.quotas.slots(name).held).sum()
+    }
+
+    fn free_slots(&self, service: &str) -> u32 {
+        let board = self.board.borrow();
+        let mut free = 0;
+        for name in board.targets_of(service) {
+            let takes = board.get(name).is_some_and(|record| record.absence.is_none());
+            if takes {
+                free += self.quotas.slots(name).free();
+            }
+        }
+        free
+    }
+
+    // While requests wait, slots of a few targets are asked for from the region's other hosts.
+    fn ask_for_slots(&self, service: &str) {
+        let waiting = {
+            let queues = self.queues.borrow();
+            queues.get(service).map_or(0, |entry| entry.queue.len())
+        };
+        let board = self.board.borrow();
+        let mut names = Vec::new();
+        for name in board.targets_of(service) {
+            let near = board.get(name).is_some_and(|record| {
+                record.target.region == self.identity.region && record.absence.is_none()
+            });
+            self.quotas.set_slot_waiting(name, 0);
+            if near {
+                names.push(name.clone());
+            }
+        }
+        self.rng.borrow_mut().shuffle(&mut names);
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        for name in names.iter().take(ASK_TARGETS) {
+            self.quotas.set_slot_waiting(name, waiting.min(2));
+        }
+    }
+
+    fn apply_absences(&self) {
+        let commands = self.config.commands();
+        let leaving = self.leaving_targets();
+        let now = boot_time();
+        let changed = self.board.borrow_mut().set_absences(now, |target| {
+            if leaving.contains(&target.name) {
+                return Some(AbsenceCause::Leaving);
+            }
+            let drained = commands.iter().any(|command| drains(command, target));
+            drained.then_some(AbsenceCause::Drained)
+        });
+        for name in changed {
+            let absence = self.board.borrow().get(&name).and_then(|record| record.absence);
+            let state = match absence {
+                Some(AbsenceCause::Drained) => "drained",
+                Some(AbsenceCause::Leaving) => "leaving",
+                None => "takes work again",
+            };
+            let mut drains = self.drains.borrow_mut();
+            if absence.is_some() {
+                drains.insert(name.clone(), now);
+            } else {
+                drains.remove(&name);
+            }
+            self.record_target(&name, state);
+        }
+    }
+
+    fn leaving_targets(&self) -> Vec<TargetId> {
+        let leaving = self.mirrors.with_kind(kinds::HOSTS, |mirror| {
+            let mut leaving = Vec::new();
+            for (name, value) in mirror.values() {
+                let Ok(listed) = serde_json::from_str::<ListedHost>(value) else {
+                    continue;
+                };
+                if listed.role == HostRole::Target && listed.state == ListedState::Leaving {
+                    leaving.push(name.clone());
+                }
+            }
+            leaving
+        });
+        leaving.unwrap_or_default()
+    }
+
+    fn note_drains(&self) {
+        let mut ended = Vec::new();
+        {
+            let board = self.board.borrow();
+            for (name, since) in self.drains.borrow().iter() {
+                let idle = board.get(name).is_none_or(|record| record.in_flight == 0);
+                if idle {
+                    ended.push((name.clone(), *since));
+                }
+            }
+        }
+        let now = boot_time();
+        for (name, since) in ended {
+            self.drains.borrow_mut().remove(&name);
+            let seconds = now.saturating_sub(since).as_secs_f64();
+            self.metrics.drain.with_label_values(&[name.as_str()]).observe(seconds);
+            self.record_target(&name, "nothing in flight here");
+        }
+    }
+
+    fn set_gauges(&self) {
+        let region = self.identity.region.as_str();
+        let Some(config) = self.config.config() else {
+            return;
+        };
+        for service in config.services.keys() {
+            let held = f64::from(self.held_slots(service));
+            let free = f64::from(self.free_slots(service));
+            let ratio = if held > 0.0 { free / held } else { 0.0 };
+            let labels = [service.as_str(), region];
+            self.metrics.headroom.with_label_values(&labels).set(ratio);
+            let waiting = {
+                let queues = self.queues.borrow();
+                queues.get(service).map_or(0, |entry| entry.queue.len())
+            };
+            let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
+            self.metrics.waiting.with_label_values(&[service.as_str()]).set(waiting);
+        }
+    }
+
+    fn record_target(&self, target: &str, state: &str) {
+        let subject = EventSubject {
+            target: Some(target.to_owned()),
+            ..EventSubject::default()
+        };
+        let kind = EventKind::TargetChanged {
+            state: state.to_owned(),
+        };
+        self.ring.record(subject, kind);
+    }
+
+    /// Gets the mesh, for views of other regions.
+    pub fn mesh(&self) -> &PeerMesh {
+        &self.mesh
+    }
+}
+
+fn drains(command: &OperatorCommand, target: &ServiceTarget) -> bool {
+    let OperatorCommand::Drain { scope, name, .. } = command else {
+        return false;
+    };
+    match scope {
+        DrainScope::Target => *name == target.name,
+        DrainScope::Zone => *name == target.zone,
+        DrainScope::Region => *name == target.region,
+        DrainScope::Host => false,
+    }
+}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -2,7 +2,9 @@
 
 use fighall_core::{
     clock::HybridStamp,
-    ids::{Generation, HostId, Incarnation, MemberId, RegionId, ServiceId, TargetId, ZoneId},
+    ids::{
+        Generation, HostId, Incarnation, MemberId, OrgId, RegionId, ServiceId, TargetId, ZoneId,
+    },
     message,
 };
 use fighall_platform::{mirror::MirrorState, object::ObjectChange};
@@ -72,6 +74,26 @@
     }
 }
 
+message! {
+    /// `HeardPeer` is an incarnation of a host that the sender has heard of late.
+    pub struct HeardPeer {
+        /// Host.
+        pub host: HostId,
+        /// Incarnation.
+        pub incarnation: Incarnation,
+    }
+}
+
+message! {
+    /// `OrgDemand` is the demand of an organisation at one host.
+    pub struct OrgDemand {
+        /// Organisation.
+        pub organisation: OrgId,
+        /// Requests a second, in millionths.
+        pub rate: u64,
+    }
+}
+
 message! {
     /// `HostState` is what a host tells its peers of itself, whole, with each heartbeat.
     #[derive(Default)]
@@ -94,6 +116,10 @@
         pub targets: Vec<TargetUse>,
         /// Room by service.
         pub rooms: Vec<ServiceRoom>,
+        /// Incarnations heard within a lease time.
+        pub hears: Vec<HeardPeer>,
+        /// Demand by organisation, where there is any.
+        pub demands: Vec<OrgDemand>,
     }
 }
 
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -21,8 +21,8 @@
 value! {
     /// `ClientOptions` are the bounds of a store client.
     pub struct ClientOptions {
-        /// Address of the store, as IP and port.
-        pub address: String,
+        /// Addresses of the store, as IP and port; the next one is tried after a failure.
+        pub addresses: Vec<String>,
         /// Longest wait for an answer.
         pub timeout: Duration,
         /// Longest time spent on one call with its retries.
@@ -39,7 +39,7 @@
 impl Default for ClientOptions {
     fn default() -> Self {
         Self {
-            address: "127.0.0.1:7700".to_owned(),
+            addresses: vec!["127.0.0.1:7700".to_owned()],
             timeout: Duration::from_millis(800),
             patience: Duration::from_secs(3),
             backoff: Duration::from_millis(50),
@@ -53,7 +53,7 @@
     /// Creates the default options for a store at `address`.
     pub fn with_address(address: String) -> Self {
         Self {
-            address,
+            addresses: vec![address],
             ..Self::default()
         }
     }
@@ -333,9 +333,16 @@
         }
     }
 
+    fn address(&self) -> &str {
+        let failed = usize::try_from(self.stats.borrow().failed_in_row).unwrap_or(0);
+        let addresses = &self.options.addresses;
+        let chosen = addresses.get(failed % addresses.len().max(1));
+        chosen.map_or("", String::as_str)
+    }
+
     async fn exchange(&self, call: &StoreCall) -> Result<RawAnswer> {
         let parts = call.parts();
-        let url = format!("http://{}{}", self.options.address, parts.target);
+        let url = format!("http://{}{}", self.address(), parts.target);
         let mut request = self
             .http
             .request(parts.method, url)
--- a/crates/route/src/fair.rs
+++ b/crates/route/src/fair.rs
@@ -102,6 +102,23 @@
         Ok(evicted)
     }
 
+    /// Puts a request back in front that was taken and could not be served.
+    pub fn push_front(&mut self, organisation: &str, weight: u64, deadline: BootTime, value: T) {
+        let queue = self
+            .queues
+            .entry(organisation.to_owned())
+            .or_insert_with(|| OrgQueue {
+                weight: weight.max(1),
+                deficit: 1,
+                items: VecDeque::new(),
+            });
+        if queue.items.is_empty() {
+            self.turn.push_front(organisation.to_owned());
+        }
+        queue.items.push_front(QueuedItem { deadline, value });
+        self.length += 1;
+    }
+
     fn evict(&mut self, organisation: &str, weight: u64) -> Option<T> {
         let load = |length: usize, weight: u64| {
             u64::try_from(length).unwrap_or(u64::MAX) * 1_000 / weight.max(1)
--- a/crates/route/src/matcher.rs
+++ b/crates/route/src/matcher.rs
@@ -56,11 +56,16 @@
     /// Finds the service and route of a host name, with or without a port, and a path.
     pub fn find(&self, host: &str, path: &str) -> Option<RouteMatch<'_>> {
         let service = self.service(host, path)?;
-        let routes = self.routes.get(service)?;
-        let route = routes.iter().find(|route| is_under(path, &route.path))?;
+        let route = self.find_in(service, path)?;
         Some(RouteMatch { service, route })
     }
 
+    /// Finds the route of a path within a service.
+    pub fn find_in(&self, service: &str, path: &str) -> Option<&ServiceRoute> {
+        let routes = self.routes.get(service)?;
+        routes.iter().find(|route| is_under(path, &route.path))
+    }
+
     fn service(&self, host: &str, path: &str) -> Option<&ServiceId> {
         let name = host.rsplit_once(':').map_or(host, |(name, port)| {
             let is_port = port.chars().all(|c| c.is_ascii_digit());
