--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -37,13 +37,6 @@
             Some(5_000),
             "Time over which a new or returning target is brought to its full share",
         ),
-        FieldSpec::integer(
-            "hedge_ms",
-            "milliseconds",
-            (0, 60_000),
-            Some(0),
-            "Wait after which an idempotent request is sent a second time; 0 never",
-        ),
     ],
 );
 
@@ -120,8 +113,6 @@
         pub probe_ms: u64,
         /// Slow start in milliseconds.
         pub slow_start_ms: u64,
-        /// Hedge delay in milliseconds, or 0.
-        pub hedge_ms: u64,
     }
 }
 
@@ -178,7 +169,6 @@
             health_path: reader.text("health_path"),
             probe_ms: reader.integer("probe_ms"),
             slow_start_ms: reader.integer("slow_start_ms"),
-            hedge_ms: reader.integer("hedge_ms"),
         };
         if service.hosts.is_empty() && service.prefixes.is_empty() {
             reader.report("hosts", "a service needs a host name or a path prefix");
--- a/crates/entry/src/authority.rs
+++ b/crates/entry/src/authority.rs
@@ -103,6 +103,8 @@
             }
         });
         let regions = &config.fleet.regions;
-        regions.iter().all(|region| witnesses.contains(&region.name))
+        regions
+            .iter()
+            .all(|region| witnesses.contains(&region.name))
     }
 }
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -163,7 +163,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|error| match error {}),
+            Self::Whole(body) => Pin::new(body)
+                .poll_frame(cx)
+                .map_err(|error| match error {}),
             Self::Streamed(body) => Pin::new(body.as_mut()).poll_frame(cx),
             Self::Paced(body) => Pin::new(body.as_mut()).poll_frame(cx),
         }
@@ -345,7 +347,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|error| match error {}),
+            Self::Whole(body) => Pin::new(body)
+                .poll_frame(cx)
+                .map_err(|error| match error {}),
             Self::Answer(body) => Pin::new(body.as_mut()).poll_frame(cx),
             Self::Paced(body) => Pin::new(body.as_mut()).poll_frame(cx),
         }
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -97,9 +97,9 @@
                 version,
                 object,
             }),
-            Ok(Ok(WriteOutcome::Conflict { current })) => {
-                Err(duplicate(current.as_ref().map(|object| object.value.as_str())))
-            }
+            Ok(Ok(WriteOutcome::Conflict { current })) => Err(duplicate(
+                current.as_ref().map(|object| object.value.as_str()),
+            )),
             Ok(Err(error)) => Err(unavailable(&error.to_string())),
             Err(_) => Err(unavailable("the store did not settle the claim in time")),
         }
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -19,12 +19,7 @@
 use fighall_peer::{mesh::PeerMesh, message::PeerMessage, view::LinkState};
 use fighall_platform::{client::StoreClient, object::kinds};
 use fighall_route::{blocks::BlockTable, matcher::RouteMatcher};
-use std::{
-    cell::RefCell,
-    collections::BTreeMap,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
 /// Time that peers are given to bring documents before the store is asked.
 const PEER_WAIT: Duration = Duration::from_millis(250);
@@ -194,7 +189,8 @@
         fastrand::shuffle(&mut peers);
         for peer in peers.iter().take(PEERS_ASKED) {
             let digests = digests.clone();
-            self.mesh.send(peer, PeerMessage::DocumentRequest { digests });
+            self.mesh
+                .send(peer, PeerMessage::DocumentRequest { digests });
         }
         let wait = async {
             loop {
@@ -208,7 +204,10 @@
         let _ = compio::time::timeout(PEER_WAIT, wait).await;
     }
 
-    async fn fetch_from_store(&self, pointer: &ConfigPointer) -> std::result::Result<(), ConfigError> {
+    async fn fetch_from_store(
+        &self,
+        pointer: &ConfigPointer,
+    ) -> std::result::Result<(), ConfigError> {
         for digest in self.missing(pointer) {
             let object = self.store.get(kinds::DOCUMENTS, &digest).await?;
             let object = object.ok_or_else(|| ConfigError::object(&digest, "it is missing"))?;
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -172,7 +172,10 @@
         remove_key(&mut headers, key.as_deref());
         assert_eq!(headers.len(), 1);
         let uri: Uri = "/a?x=1&key=fk%5Fabc&y=2&k=fk_abc".parse().unwrap();
-        assert_eq!(target_without_key(&uri, key.as_deref()).as_str(), "/a?x=1&y=2");
+        assert_eq!(
+            target_without_key(&uri, key.as_deref()).as_str(),
+            "/a?x=1&y=2"
+        );
     }
 
     #[test]
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -36,8 +36,12 @@
 }
 
 /// Serves the connections of a listener until the process refuses new ones.
-pub async fn serve<H, F>(kernel: Rc<MicroKernel>, listener: TcpListener, pause: Duration, handler: H)
-where
+pub async fn serve<H, F>(
+    kernel: Rc<MicroKernel>,
+    listener: TcpListener,
+    pause: Duration,
+    handler: H,
+) where
     H: Fn(Request<Incoming>, IpAddr) -> F + Clone + 'static,
     F: Future<Output = Response<ProxyBody>> + 'static,
 {
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -9,11 +9,7 @@
     ids::{BootTime, MemberId, Version},
     ring::EventRing,
 };
-use fighall_kernel::{
-    errors::Result,
-    kernel::MicroKernel,
-    stage::LifeStage,
-};
+use fighall_kernel::{errors::Result, kernel::MicroKernel, stage::LifeStage};
 use fighall_membership::{
     lease::{MemberLease, member_of, object_name},
     table::{ClaimPlan, Evidence, MemberTable, TableOptions},
@@ -196,7 +192,8 @@
                     continue;
                 };
                 let lease = change.value.as_deref();
-                let lease: Option<MemberLease> = lease.and_then(|text| serde_json::from_str(text).ok());
+                let lease: Option<MemberLease> =
+                    lease.and_then(|text| serde_json::from_str(text).ok());
                 table.observe(now, member, change.version, lease.as_ref());
             }
             if mirror.age(now).is_some() {
@@ -274,7 +271,11 @@
                 }
             }
             Ok(WriteOutcome::Conflict { current }) => {
-                self.resolve_conflict(current.as_ref().map(|object| (object.version, object.value.as_str())));
+                self.resolve_conflict(
+                    current
+                        .as_ref()
+                        .map(|object| (object.version, object.value.as_str())),
+                );
             }
             // The store does not answer: the base shares outlive its outage.
             Err(_) => {}
@@ -344,7 +345,11 @@
         let text = serde_json::to_string(lease).unwrap_or_default();
         let name = object_name(member);
         match expected {
-            None => self.store.create_settled(kinds::MEMBERS, &name, &text).await,
+            None => {
+                self.store
+                    .create_settled(kinds::MEMBERS, &name, &text)
+                    .await
+            }
             Some(version) => {
                 self.store
                     .put_settled(kinds::MEMBERS, &name, &text, version)
@@ -387,10 +392,9 @@
         let listed = listed.flatten();
         let named = listed.is_some_and(|listed| listed.role == HostRole::Entry);
         // A new process on the old one's address has taken its place.
-        let replaced = self
-            .leases()
-            .iter()
-            .any(|other| other.peer_address == lease.peer_address && other.incarnation > lease.incarnation);
+        let replaced = self.leases().iter().any(|other| {
+            other.peer_address == lease.peer_address && other.incarnation > lease.incarnation
+        });
         Evidence {
             unlisted: !named || replaced || lease.peer_address == self.identity.peer_address,
             unheard: self.is_unheard(now, lease),
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -79,7 +79,10 @@
             prometheus::Result::Ok(metric)
         };
         let headroom = GaugeVec::new(
-            Opts::new("fighall_headroom_ratio", "Free slots as a part of those held"),
+            Opts::new(
+                "fighall_headroom_ratio",
+                "Free slots as a part of those held",
+            ),
             &["service", "region"],
         )?;
         registry.register(Box::new(headroom.clone()))?;
@@ -136,7 +139,11 @@
                 "Bytes sent to other regions",
                 &["region"],
             )?,
-            waiting: gauges("fighall_waiting", "Requests waiting for a slot", &["service"])?,
+            waiting: gauges(
+                "fighall_waiting",
+                "Requests waiting for a slot",
+                &["service"],
+            )?,
             registry,
         })
     }
@@ -144,7 +151,9 @@
     /// Counts a refusal.
     pub fn count_refusal(&self, reason: RefusalReason, run: &str) {
         let reason = crate::problem::reason_name(reason);
-        self.refusals.with_label_values(&[reason.as_str(), run]).inc();
+        self.refusals
+            .with_label_values(&[reason.as_str(), run])
+            .inc();
     }
 
     /// Gets all metrics as text.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -208,22 +208,37 @@
         kernel.spawn_service(Rc::new(ProbeService::new(kernel)?).keep());
         kernel.spawn_service(accept_links(Rc::clone(&self.mesh), listeners.peers));
         let proxy = Rc::new(CallerProxy::new(kernel, pause)?);
-        let callers = serve(Rc::clone(kernel), listeners.callers, pause, move |request, remote| {
-            let proxy = Rc::clone(&proxy);
-            async move { proxy.serve(request, remote).await }
-        });
+        let callers = serve(
+            Rc::clone(kernel),
+            listeners.callers,
+            pause,
+            move |request, remote| {
+                let proxy = Rc::clone(&proxy);
+                async move { proxy.serve(request, remote).await }
+            },
+        );
         kernel.spawn_service(callers);
         let forward = Rc::new(ForwardService::new(kernel, pause)?);
-        let forwards = serve(Rc::clone(kernel), listeners.forwards, pause * 6, move |request, _| {
-            let forward = Rc::clone(&forward);
-            async move { forward.serve(request).await }
-        });
+        let forwards = serve(
+            Rc::clone(kernel),
+            listeners.forwards,
+            pause * 6,
+            move |request, _| {
+                let forward = Rc::clone(&forward);
+                async move { forward.serve(request).await }
+            },
+        );
         kernel.spawn_service(forwards);
         let operator = Rc::new(OperatorService::new(kernel)?);
-        let operators = serve(Rc::clone(kernel), listeners.operators, pause, move |request, _| {
-            let operator = Rc::clone(&operator);
-            async move { operator.serve(request).await }
-        });
+        let operators = serve(
+            Rc::clone(kernel),
+            listeners.operators,
+            pause,
+            move |request, _| {
+                let operator = Rc::clone(&operator);
+                async move { operator.serve(request).await }
+            },
+        );
         kernel.spawn_service(operators);
         Ok(())
     }
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -25,7 +25,10 @@
     ring::EventRing,
 };
 use fighall_kernel::{errors::Result, kernel::MicroKernel, stage::LifeStage};
-use fighall_peer::{mesh::PeerMesh, message::{MirrorDelta, PeerMessage}};
+use fighall_peer::{
+    mesh::PeerMesh,
+    message::{MirrorDelta, PeerMessage},
+};
 use fighall_platform::{client::StoreClient, object::kinds};
 use http::{HeaderValue, Method, Request, Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyExt, Limited};
@@ -88,7 +91,10 @@
             _ => {}
         }
         if !self.is_operator(&request) {
-            return refused(RefusalReason::KeyRejected, "the operators' token is missing or wrong");
+            return refused(
+                RefusalReason::KeyRejected,
+                "the operators' token is missing or wrong",
+            );
         }
         let query = request.uri().query().unwrap_or("").to_owned();
         match (request.method(), path.as_str()) {
@@ -134,14 +140,18 @@
             let up = views.filter(|view| view.link == fighall_peer::view::LinkState::Up);
             up.count()
         });
-        self.metrics.links.set(i64::try_from(up).unwrap_or(i64::MAX));
+        self.metrics
+            .links
+            .set(i64::try_from(up).unwrap_or(i64::MAX));
         plain(StatusCode::OK, &self.metrics.text())
     }
 
     fn status(&self) -> HostStatus {
         let now = boot_time();
         let identity = &self.identity;
-        let keys = self.mirrors.with_kind(kinds::KEYS, |mirror| mirror.version());
+        let keys = self
+            .mirrors
+            .with_kind(kinds::KEYS, |mirror| mirror.version());
         HostStatus {
             host: identity.host.clone(),
             incarnation: identity.incarnation,
@@ -239,7 +249,10 @@
 
     fn explain(&self, query: &str) -> Response<ProxyBody> {
         let Some(service) = parameter(query, "service") else {
-            return refused(RefusalReason::BadRequest, "the parameter `service` is missing");
+            return refused(
+                RefusalReason::BadRequest,
+                "the parameter `service` is missing",
+            );
         };
         let known = self.config.config();
         if !known.is_some_and(|config| config.services.contains_key(&service)) {
@@ -288,7 +301,12 @@
         let parsed = serde_json::from_slice::<MirrorDelta>(&collected.to_bytes());
         let delta = match parsed {
             Ok(delta) if delta.kind == kinds::KEYS => delta,
-            _ => return refused(RefusalReason::BadRequest, "the body is not a change of keys"),
+            _ => {
+                return refused(
+                    RefusalReason::BadRequest,
+                    "the body is not a change of keys",
+                );
+            }
         };
         self.mirrors.take_delta(&delta);
         self.mesh.broadcast(&PeerMessage::MirrorDelta(delta));
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -6,8 +6,8 @@
 use cyper_core::HyperStream;
 use fighall_core::{clock::boot_time, ids::BootTime, value};
 use hyper::client::conn::http1::{self, SendRequest};
-use socket2::{SockRef, TcpKeepalive};
 use snafu::Snafu;
+use socket2::{SockRef, TcpKeepalive};
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -190,7 +190,8 @@
         let now = boot_time();
         let mut addresses = self.addresses.borrow_mut();
         for pool in addresses.values_mut() {
-            pool.idle.retain(|idle| now.saturating_sub(idle.idle_since) < IDLE_TIME);
+            pool.idle
+                .retain(|idle| now.saturating_sub(idle.idle_since) < IDLE_TIME);
         }
         addresses.retain(|_, pool| pool.open.get() > 0);
     }
--- a/crates/entry/src/probes.rs
+++ b/crates/entry/src/probes.rs
@@ -22,12 +22,7 @@
 use fighall_route::board::LoadReport;
 use http::Request;
 use http_body_util::{BodyExt, Full};
-use std::{
-    cell::RefCell,
-    collections::BTreeMap,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
 /// Interval at which due probes are looked for.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
@@ -166,7 +161,9 @@
             },
             give_up_at: boot_time() + PROBE_LIMIT,
         };
-        let response = send(&mut guard, target.address, request, bounds).await.ok()?;
+        let response = send(&mut guard, target.address, request, bounds)
+            .await
+            .ok()?;
         if !response.status().is_success() {
             return None;
         }
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -33,12 +33,7 @@
 };
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use std::{
-    cell::Cell,
-    net::IpAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::Cell, net::IpAddr, rc::Rc, time::Duration};
 
 /// Largest body that is held whole, so that it can be sent again.
 const WHOLE_BODY_LIMIT: u64 = 64 * 1_024;
@@ -170,7 +165,10 @@
         };
         let scope = format!("{}\0{}", context.organisation_name(), context.service);
         let patience = context.left() / CLAIM_PART;
-        let claim = self.claims.claim(&scope, key, &context.id, patience).await?;
+        let claim = self
+            .claims
+            .claim(&scope, key, &context.id, patience)
+            .await?;
         let mut guard = ClaimGuard::new(Rc::clone(&self.claims), claim);
         let outcome = self.router.run(context).await;
         match &outcome {
@@ -237,7 +235,9 @@
         let target = target_without_key(&parts.uri, key.as_deref());
         let progress = Rc::new(BodyProgress::default());
         let body = CallerBody::new(body, bounds.limit, bounds.pause, Rc::clone(&progress));
-        let body = self.bounded_body(&parts.headers, body, progress, bounds).await?;
+        let body = self
+            .bounded_body(&parts.headers, body, progress, bounds)
+            .await?;
         let mut headers = parts.headers;
         remove_hop_by_hop(&mut headers);
         remove_own(&mut headers);
@@ -287,7 +287,12 @@
     fn new_id(&self) -> RequestId {
         self.next.set(self.next.get() + 1);
         let identity = &self.identity;
-        format!("{}-{:x}-{:x}", identity.host, identity.incarnation, self.next.get())
+        format!(
+            "{}-{:x}-{:x}",
+            identity.host,
+            identity.incarnation,
+            self.next.get()
+        )
     }
 
     fn count_answer(
@@ -299,7 +304,10 @@
         let service = subject.service.as_deref().unwrap_or("");
         let status = response.status().as_u16();
         let metrics = &self.metrics;
-        metrics.requests.with_label_values(&[service, "answered"]).inc();
+        metrics
+            .requests
+            .with_label_values(&[service, "answered"])
+            .inc();
         let latency = metrics.latency.with_label_values(&[service]);
         latency.observe(elapsed.as_secs_f64());
         self.count_organisation(subject, "answered");
@@ -316,7 +324,10 @@
             RunState::Unknown => "unknown",
         };
         let metrics = &self.metrics;
-        metrics.requests.with_label_values(&[service, outcome.as_str()]).inc();
+        metrics
+            .requests
+            .with_label_values(&[service, outcome.as_str()])
+            .inc();
         metrics.count_refusal(refusal.reason, run);
         self.count_organisation(subject, "refused");
         let kind = EventKind::Refused {
@@ -380,7 +391,11 @@
 ) -> std::result::Result<RequestBody, RequestRefusal> {
     let length = content_length(headers);
     let chunked = headers.contains_key(TRANSFER_ENCODING);
-    let known = if chunked { None } else { Some(length.unwrap_or(0)) };
+    let known = if chunked {
+        None
+    } else {
+        Some(length.unwrap_or(0))
+    };
     if known.is_some_and(|length| length <= WHOLE_BODY_LIMIT) {
         let collected = body.collect().await.map_err(|error| body_refusal(&error))?;
         return Ok(RequestBody::Whole(collected.to_bytes()));
--- a/crates/entry/src/quotas.rs
+++ b/crates/entry/src/quotas.rs
@@ -127,11 +127,7 @@
     /// Returns an error when a service that it needs is missing.
     pub fn new(kernel: &MicroKernel) -> Result<Self> {
         let identity: Rc<HostIdentity> = kernel.find(names::IDENTITY)?;
-        let book = QuotaBook::new(
-            BookOptions::default(),
-            &identity.host,
-            identity.incarnation,
-        );
+        let book = QuotaBook::new(BookOptions::default(), &identity.host, identity.incarnation);
         Ok(Self {
             ring: kernel.find(names::EVENTS)?,
             mesh: kernel.find(names::MESH)?,
@@ -387,7 +383,12 @@
     // The own share will not bring a token in time, and everyone asked has nothing to lend.
     fn is_hopeless(&self, organisation: &str, key: &QuotaKey, give_up_at: BootTime) -> bool {
         let now = boot_time();
-        let ahead = self.covered.borrow().get(organisation).copied().unwrap_or(0);
+        let ahead = self
+            .covered
+            .borrow()
+            .get(organisation)
+            .copied()
+            .unwrap_or(0);
         let mut book = self.book.borrow_mut();
         let wait = book.wait_for(now, key, ahead);
         let in_time = wait.is_some_and(|wait| now + wait <= give_up_at);
@@ -472,7 +473,8 @@
         let mut options = BookOptions::default();
         if let Some(config) = config {
             options.rates = RateOptions::with_term(Duration::from_millis(config.fleet.loan_ms));
-            options.slots = RateOptions::with_term(Duration::from_millis(config.fleet.slot_loan_ms));
+            options.slots =
+                RateOptions::with_term(Duration::from_millis(config.fleet.slot_loan_ms));
         }
         let identity = &self.identity;
         let mut book = self.book.borrow_mut();
@@ -590,7 +592,11 @@
                 left -= part;
             }
             let region = self.region.as_str();
-            quotas.metrics.link_bytes.with_label_values(&[region]).inc_by(bytes);
+            quotas
+                .metrics
+                .link_bytes
+                .with_label_values(&[region])
+                .inc_by(bytes);
         }
         .boxed_local()
     }
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -200,9 +200,10 @@
                     ("the wait for a slot would exceed the deadline", wait)
                 }
                 AcquireFailure::Full => ("the queue is full", Duration::from_secs(1)),
-                AcquireFailure::Expired => {
-                    ("no slot came free before the deadline", Duration::from_secs(1))
-                }
+                AcquireFailure::Expired => (
+                    "no slot came free before the deadline",
+                    Duration::from_secs(1),
+                ),
             };
             RequestRefusal::not_run(RefusalReason::NoRoom, evidence).with_retry_after(wait)
         })
@@ -262,9 +263,8 @@
         };
         self.targets.mesh().with_views(|peers| {
             for peer in peers {
-                let usable = peer.peer.region == region
-                    && peer.is_alive(now, ALIVE)
-                    && peer.state.open;
+                let usable =
+                    peer.peer.region == region && peer.is_alive(now, ALIVE) && peer.state.open;
                 if !usable {
                     continue;
                 }
@@ -384,7 +384,11 @@
         }
         let bounds = ExchangeBounds {
             need: ConnectionNeed {
-                reuse_within: if context.idempotent { REUSE_IDLE } else { FRESH_IDLE },
+                reuse_within: if context.idempotent {
+                    REUSE_IDLE
+                } else {
+                    FRESH_IDLE
+                },
                 limit: FORWARD_CONNECTIONS,
             },
             give_up_at: attempt_end(context, None),
@@ -427,9 +431,8 @@
             RequestBody::Whole(bytes) => Ok(UpstreamBody::Whole(Full::new(bytes.clone()))),
             RequestBody::Streamed { body, .. } => {
                 let body = body.borrow_mut().take();
-                let body = body.ok_or_else(|| {
-                    AttemptFailure::not_run("the body was passed on already")
-                })?;
+                let body =
+                    body.ok_or_else(|| AttemptFailure::not_run("the body was passed on already"))?;
                 match region {
                     None => Ok(UpstreamBody::Streamed(Box::new(body))),
                     Some(region) => {
@@ -495,7 +498,9 @@
             }
             Err(_) => {
                 guard.fail();
-                Err(AttemptFailure::may_have_run("the answer did not end in time"))
+                Err(AttemptFailure::may_have_run(
+                    "the answer did not end in time",
+                ))
             }
         }
     }
@@ -626,7 +631,10 @@
 }
 
 fn is_marked_not_run(response: &Response<Incoming>) -> bool {
-    let refused = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
+    let refused = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
     let marked = response.headers().get(&RUN_HEADER);
     refused.contains(&response.status()) && marked.is_some_and(|value| value == "no")
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -25,7 +25,11 @@
         FieldSpec::text("zone", "Availability zone of this host"),
         FieldSpec::text_or("callers", "0.0.0.0:8080", "Address for callers"),
         FieldSpec::text_or("peers", "0.0.0.0:8081", "Address for links of peers"),
-        FieldSpec::text_or("forwards", "0.0.0.0:8082", "Address for requests that peers forward"),
+        FieldSpec::text_or(
+            "forwards",
+            "0.0.0.0:8082",
+            "Address for requests that peers forward",
+        ),
         FieldSpec::text_or("operators", "127.0.0.1:8083", "Address for operators"),
         FieldSpec::text_or(
             "advertise",
@@ -261,7 +265,10 @@
     }
     for address in &store {
         if address.parse::<SocketAddr>().is_err() {
-            reader.report("store", format!("`{address}` is not an IP address and port"));
+            reader.report(
+                "store",
+                format!("`{address}` is not an IP address and port"),
+            );
         }
     }
     store
@@ -276,11 +283,7 @@
     level
 }
 
-fn read_secret(
-    reader: &ObjectReader<'_, '_>,
-    field: &str,
-    variable: &str,
-) -> Option<SecretText> {
+fn read_secret(reader: &ObjectReader<'_, '_>, field: &str, variable: &str) -> Option<SecretText> {
     let path = reader.text(field);
     let text = if path.is_empty() {
         match std::env::var(variable) {
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -102,7 +102,8 @@
     fn drop(&mut self) {
         let held = boot_time().saturating_sub(self.taken_at);
         if let Some(ticket) = self.ticket.take() {
-            self.targets.release(&self.service, &self.target, ticket, held);
+            self.targets
+                .release(&self.service, &self.target, ticket, held);
         }
     }
 }
@@ -227,7 +228,9 @@
     ) -> Option<SlotLease> {
         let waiting = {
             let queues = self.queues.borrow();
-            queues.get(&context.service).is_some_and(|queue| !queue.queue.is_empty())
+            queues
+                .get(&context.service)
+                .is_some_and(|queue| !queue.queue.is_empty())
         };
         if waiting {
             return None;
@@ -248,7 +251,11 @@
         if let Some(lease) = self.acquire_now(context, tried) {
             return Ok(lease);
         }
-        let wait = self.expected_wait(&context.service, context.organisation_name(), context.weight);
+        let wait = self.expected_wait(
+            &context.service,
+            context.organisation_name(),
+            context.weight,
+        );
         let now = boot_time();
         if now + wait > context.deadline {
             return Err(AcquireFailure::TooLong { wait });
@@ -288,9 +295,8 @@
         let mut count = 0;
         for name in board.targets_of(service) {
             let record = board.get(name);
-            let takes = record.is_some_and(|record| {
-                record.target.region == region && record.absence.is_none()
-            });
+            let takes = record
+                .is_some_and(|record| record.target.region == region && record.absence.is_none());
             count += usize::from(takes);
         }
         count
@@ -461,7 +467,9 @@
     fn can_place(&self, service: &str) -> bool {
         let waiting = {
             let queues = self.queues.borrow();
-            queues.get(service).is_some_and(|entry| !entry.queue.is_empty())
+            queues
+                .get(service)
+                .is_some_and(|entry| !entry.queue.is_empty())
         };
         waiting && self.pick(service, &[]).is_some()
     }
@@ -483,7 +491,9 @@
         if let Some(entry) = queues.get_mut(service) {
             let organisation = waiter.organisation.clone();
             let (weight, deadline) = (waiter.weight, waiter.deadline);
-            entry.queue.push_front(&organisation, weight, deadline, waiter);
+            entry
+                .queue
+                .push_front(&organisation, weight, deadline, waiter);
         }
     }
 
@@ -497,7 +507,9 @@
         };
         let mut board = self.board.borrow_mut();
         let mut rng = self.rng.borrow_mut();
-        place(&mut board, boot_time(), &query, &mut rng, |target| self.room(target))
+        place(&mut board, boot_time(), &query, &mut rng, |target| {
+            self.room(target)
+        })
     }
 
     fn take_slot(
@@ -548,13 +560,7 @@
         (target.connections / members.max(1)).max(1)
     }
 
-    fn release(
-        self: &Rc<Self>,
-        service: &str,
-        target: &str,
-        ticket: SlotTicket,
-        held: Duration,
-    ) {
+    fn release(self: &Rc<Self>, service: &str, target: &str, ticket: SlotTicket, held: Duration) {
         self.quotas.release(target, ticket);
         if let Some(record) = self.board.borrow_mut().get_mut(target) {
             record.in_flight = record.in_flight.saturating_sub(1);
@@ -634,7 +640,9 @@
         let board = self.board.borrow();
         let mut free = 0;
         for name in board.targets_of(service) {
-            let takes = board.get(name).is_some_and(|record| record.absence.is_none());
+            let takes = board
+                .get(name)
+                .is_some_and(|record| record.absence.is_none());
             if takes {
                 free += self.quotas.slots(name).free();
             }
@@ -678,7 +686,11 @@
             drained.then_some(AbsenceCause::Drained)
         });
         for name in changed {
-            let absence = self.board.borrow().get(&name).and_then(|record| record.absence);
+            let absence = self
+                .board
+                .borrow()
+                .get(&name)
+                .and_then(|record| record.absence);
             let state = match absence {
                 Some(AbsenceCause::Drained) => "drained",
                 Some(AbsenceCause::Leaving) => "leaving",
@@ -725,7 +737,10 @@
         for (name, since) in ended {
             self.drains.borrow_mut().remove(&name);
             let seconds = now.saturating_sub(since).as_secs_f64();
-            self.metrics.drain.with_label_values(&[name.as_str()]).observe(seconds);
+            self.metrics
+                .drain
+                .with_label_values(&[name.as_str()])
+                .observe(seconds);
             self.record_target(&name, "nothing in flight here");
         }
     }
@@ -746,7 +761,10 @@
                 queues.get(service).map_or(0, |entry| entry.queue.len())
             };
             let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
-            self.metrics.waiting.with_label_values(&[service.as_str()]).set(waiting);
+            self.metrics
+                .waiting
+                .with_label_values(&[service.as_str()])
+                .set(waiting);
         }
     }
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,3 +1,12 @@
 //! Stand-ins of the platform and of targets, load and scripted scenarios.
 
 #![forbid(unsafe_code)]
+
+pub mod behaviour;
+pub mod caller;
+pub mod cluster;
+pub mod faults;
+pub mod platform;
+pub mod record;
+pub mod server;
+pub mod target;
--- /dev/null
+++ b/crates/testkit/src/target.rs
@@ -0,0 +1,339 @@
+//! Stand-in of a target.
+
+use crate::{
+    behaviour::TargetBehaviour,
+    record::TargetRecord,
+    server::{BrokenExchange, StandInBody, StandInServer},
+};
+use bytes::Bytes;
+use event_listener::Event;
+use fighall_core::{clock::boot_time, message};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::{cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
+
+/// Header by which tests mark a request.
+pub const MARK_HEADER: &str = "x-mark";
+/// Header by which tests ask for an answer of a size, in bytes.
+pub const SIZE_HEADER: &str = "x-size";
+/// Header by which tests ask for a service time, in microseconds.
+pub const WORK_HEADER: &str = "x-work-us";
+/// Path at which the behaviour is set.
+pub const BEHAVIOUR_PATH: &str = "/.stand-in/behaviour";
+/// Path at which the record is read.
+pub const RECORD_PATH: &str = "/.stand-in/record";
+/// Start of all keys.
+const KEY_PREFIX: &str = "fk_";
+/// Starts kept for each organisation.
+const STARTS_LIMIT: usize = 200_000;
+
+message! {
+    /// `TargetAnswer` is the body of a target's answer.
+    pub struct TargetAnswer {
+        /// Target.
+        pub target: String,
+        /// Request.
+        pub request: String,
+        /// Organisation.
+        pub organisation: String,
+        /// Padding up to the size asked for.
+        pub padding: String,
+    }
+}
+
+struct LoadSample {
+    at: Duration,
+    in_flight: u32,
+}
+
+struct TargetState {
+    name: String,
+    behaviour: RefCell<TargetBehaviour>,
+    record: RefCell<TargetRecord>,
+    samples: RefCell<VecDeque<LoadSample>>,
+    rng: RefCell<fastrand::Rng>,
+    freed: Event,
+}
+
+/// `TargetStandIn` is a target's stand-in, in this process.
+pub struct TargetStandIn {
+    server: StandInServer,
+    state: Rc<TargetState>,
+}
+
+impl std::fmt::Debug for TargetStandIn {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("TargetStandIn")
+            .field("name", &self.state.name)
+            .finish_non_exhaustive()
+    }
+}
+
+impl TargetStandIn {
+    /// Starts a target.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start(
+        name: &str,
+        address: SocketAddr,
+        behaviour: TargetBehaviour,
+    ) -> std::io::Result<Self> {
+        let state = Rc::new(TargetState {
+            name: name.to_owned(),
+            behaviour: RefCell::new(behaviour),
+            record: RefCell::new(TargetRecord::default()),
+            samples: RefCell::new(VecDeque::new()),
+            rng: RefCell::new(fastrand::Rng::with_seed(1)),
+            freed: Event::new(),
+        });
+        let shared = Rc::clone(&state);
+        let server = StandInServer::start(address, move |request, connection| {
+            let state = Rc::clone(&shared);
+            async move { state.serve(request, connection).await }
+        })
+        .await?;
+        Ok(Self { server, state })
+    }
+
+    /// Gets the target's name.
+    pub fn name(&self) -> &str {
+        &self.state.name
+    }
+
+    /// Gets the target's address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes the behaviour.
+    pub fn change(&self, change: impl FnOnce(&mut TargetBehaviour)) {
+        change(&mut self.state.behaviour.borrow_mut());
+    }
+
+    /// Lets every connection that is open now go silent; new ones work.
+    pub fn silence_connections(&self) {
+        let connections = self.state.record.borrow().connections;
+        self.change(|behaviour| behaviour.silent_before = connections + 1);
+    }
+
+    /// Gets what the target has seen.
+    pub fn record(&self) -> TargetRecord {
+        self.state.record.borrow().clone()
+    }
+
+    /// Runs `read` over what the target has seen, without copying it.
+    pub fn with_record<T>(&self, read: impl FnOnce(&TargetRecord) -> T) -> T {
+        read(&self.state.record.borrow())
+    }
+
+    /// Ends the target as a crash would.
+    pub fn close(&self) {
+        self.server.close();
+    }
+}
+
+// Counts a request as in flight while it lives; a drop before the end is a cancellation.
+struct FlightGuard {
+    state: Rc<TargetState>,
+    ended: bool,
+}
+
+impl FlightGuard {
+    fn new(state: &Rc<TargetState>) -> Self {
+        state.change_load(1);
+        Self {
+            state: Rc::clone(state),
+            ended: false,
+        }
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.state.change_load(-1);
+        if !self.ended {
+            self.state.record.borrow_mut().cancelled += 1;
+        }
+        self.state.freed.notify(1);
+    }
+}
+
+type StandInResult = Result<Response<StandInBody>, BrokenExchange>;
+
+impl TargetState {
+    async fn serve(self: Rc<Self>, request: Request<Incoming>, connection: u64) -> StandInResult {
+        {
+            let mut record = self.record.borrow_mut();
+            record.connections = record.connections.max(connection);
+        }
+        if connection < self.behaviour.borrow().silent_before {
+            std::future::pending::<()>().await;
+        }
+        match request.uri().path() {
+            BEHAVIOUR_PATH => self.take_behaviour(request).await,
+            RECORD_PATH => Ok(json_response(&*self.record.borrow())),
+            "/health" => self.probe().await,
+            "/load" => self.load().await,
+            _ => self.work(request, connection).await,
+        }
+    }
+
+    async fn take_behaviour(&self, request: Request<Incoming>) -> StandInResult {
+        let body = request.into_body().collect().await;
+        let bytes = body.map_err(|_| BrokenExchange)?.to_bytes();
+        match serde_json::from_slice(&bytes) {
+            Ok(behaviour) => {
+                *self.behaviour.borrow_mut() = behaviour;
+                Ok(plain(StatusCode::NO_CONTENT, Bytes::new()))
+            }
+            Err(_) => Ok(plain(StatusCode::BAD_REQUEST, Bytes::new())),
+        }
+    }
+
+    async fn probe(&self) -> StandInResult {
+        let behaviour = self.behaviour.borrow().clone();
+        self.record.borrow_mut().probes += 1;
+        compio::time::sleep(Duration::from_micros(behaviour.probe_us)).await;
+        let status = if behaviour.lies_unhealthy {
+            StatusCode::SERVICE_UNAVAILABLE
+        } else {
+            StatusCode::OK
+        };
+        Ok(plain(status, Bytes::new()))
+    }
+
+    async fn load(&self) -> StandInResult {
+        let behaviour = self.behaviour.borrow().clone();
+        let lag = Duration::from_millis(behaviour.load_lag_ms);
+        let in_flight = behaviour
+            .lies_load
+            .unwrap_or_else(|| self.load_at(boot_time().saturating_sub(lag)));
+        let text = format!("{{\"in_flight\":{in_flight}}}");
+        Ok(plain(StatusCode::OK, Bytes::from(text)))
+    }
+
+    async fn work(self: Rc<Self>, request: Request<Incoming>, _: u64) -> StandInResult {
+        let behaviour = self.behaviour.borrow().clone();
+        let (parts, body) = request.into_parts();
+        self.note_headers(&parts.headers, parts.uri.query().unwrap_or(""));
+        if behaviour.sheds && self.record.borrow().in_flight >= behaviour.slots {
+            self.record.borrow_mut().shed += 1;
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+            let mark = HeaderValue::from_static("no");
+            response.headers_mut().insert("fighall-run", mark);
+            return Ok(response);
+        }
+        let mut guard = FlightGuard::new(&self);
+        body.collect().await.map_err(|_| BrokenExchange)?;
+        self.note_run(&parts.headers);
+        if self.draw(behaviour.early_close_percent) {
+            return Err(BrokenExchange);
+        }
+        compio::time::sleep(self.service_time(&behaviour, &parts.headers)).await;
+        let answer = self.answer(&parts.headers);
+        guard.ended = true;
+        let text = serde_json::to_vec(&answer).unwrap_or_default();
+        if self.draw(behaviour.cut_percent) {
+            return Ok(Response::new(StandInBody::cut(Bytes::from(text))));
+        }
+        self.record.borrow_mut().answered += 1;
+        let mut response = plain(StatusCode::OK, Bytes::from(text));
+        let json = HeaderValue::from_static("application/json");
+        response.headers_mut().insert("content-type", json);
+        if let Ok(name) = HeaderValue::from_str(&self.name) {
+            response.headers_mut().insert("x-target", name);
+        }
+        Ok(response)
+    }
+
+    fn draw(&self, percent: u32) -> bool {
+        percent > 0 && self.rng.borrow_mut().u32(0..100) < percent
+    }
+
+    fn service_time(&self, behaviour: &TargetBehaviour, headers: &HeaderMap) -> Duration {
+        let asked = text(headers, WORK_HEADER).parse().ok();
+        let mut micros = asked.unwrap_or(behaviour.service_us);
+        let served = self.record.borrow().started;
+        if behaviour.warm_after > 0 && served < behaviour.warm_after {
+            micros += behaviour.cold_us * (behaviour.warm_after - served) / behaviour.warm_after;
+        }
+        Duration::from_micros(micros)
+    }
+
+    fn answer(&self, headers: &HeaderMap) -> TargetAnswer {
+        let size: usize = text(headers, SIZE_HEADER).parse().unwrap_or(0);
+        TargetAnswer {
+            target: self.name.clone(),
+            request: text(headers, "fighall-request"),
+            organisation: text(headers, "fighall-organisation"),
+            padding: "x".repeat(size),
+        }
+    }
+
+    fn note_headers(&self, headers: &HeaderMap, query: &str) {
+        let mut record = self.record.borrow_mut();
+        let in_headers = headers.values().any(|value| {
+            let text = String::from_utf8_lossy(value.as_bytes());
+            text.contains(KEY_PREFIX)
+        });
+        record.saw_key |= in_headers || query.contains(KEY_PREFIX);
+        if !headers.contains_key("fighall-deadline-ms") {
+            record.without_deadline += 1;
+        }
+    }
+
+    fn note_run(&self, headers: &HeaderMap) {
+        let now = u64::try_from(boot_time().as_micros()).unwrap_or(u64::MAX);
+        let mark = text(headers, MARK_HEADER);
+        let organisation = text(headers, "fighall-organisation");
+        let mut record = self.record.borrow_mut();
+        record.started += 1;
+        record.last_start_us = now;
+        if !mark.is_empty() {
+            *record.runs.entry(mark).or_default() += 1;
+        }
+        let starts = record.starts.entry(organisation).or_default();
+        if starts.len() < STARTS_LIMIT {
+            starts.push(now);
+        }
+    }
+
+    fn change_load(&self, by: i32) {
+        let mut record = self.record.borrow_mut();
+        record.in_flight = record.in_flight.saturating_add_signed(by);
+        record.max_in_flight = record.max_in_flight.max(record.in_flight);
+        let mut samples = self.samples.borrow_mut();
+        samples.push_back(LoadSample {
+            at: boot_time(),
+            in_flight: record.in_flight,
+        });
+        while samples.len() > 4_096 {
+            samples.pop_front();
+        }
+    }
+
+    fn load_at(&self, at: Duration) -> u32 {
+        let samples = self.samples.borrow();
+        let known = samples.iter().rev().find(|sample| sample.at <= at);
+        known.map_or(0, |sample| sample.in_flight)
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+fn plain(status: StatusCode, bytes: Bytes) -> Response<StandInBody> {
+    let mut response = Response::new(StandInBody::whole(bytes));
+    *response.status_mut() = status;
+    response
+}
+
+fn json_response<T: serde::Serialize>(value: &T) -> Response<StandInBody> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    plain(StatusCode::OK, Bytes::from(text))
+}
