--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -219,6 +219,7 @@
                     target: name.clone(),
                     service: record.service.clone(),
                     region: record.target.region.clone(),
+                    zone: record.target.zone.clone(),
                     state,
                     in_flight: record.in_flight,
                     busy: record.busy(now),
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -87,6 +87,8 @@
         pub service: String,
         /// Region.
         pub region: RegionId,
+        /// Availability zone.
+        pub zone: ZoneId,
         /// State: `up`, `ejected`, `drained` or `leaving`.
         pub state: String,
         /// Requests of this host there.
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -244,7 +244,7 @@
         self.platform.put(HOSTS, name, &text);
     }
 
-    /// Issues a key of an organisation.
+    /// Issues a key of an organisation. Callers present the first one.
     ///
     /// # Errors
     ///
@@ -252,7 +252,8 @@
     pub fn issue_key(&mut self, organisation: &str) -> Result<String> {
         let key = new_key()?;
         self.write_key(&key, organisation, KeyState::Active);
-        self.keys.insert(organisation.to_owned(), key.clone());
+        let first = self.keys.entry(organisation.to_owned());
+        first.or_insert_with(|| key.clone());
         Ok(key)
     }
 
