--- a/crates/entry/src/quotas.rs
+++ b/crates/entry/src/quotas.rs
@@ -12,7 +12,7 @@
     event::{EventKind, EventSubject},
     ids::{BootTime, Generation, HostId, MemberId, OrgId, RegionId},
     ring::EventRing,
-    value,
+    tag, value,
 };
 use fighall_kernel::{errors::Result, kernel::MicroKernel};
 use fighall_peer::{
@@ -51,6 +51,16 @@
 /// Part of an organisation's rate, in percent, below which its demand counts as within it.
 const WITHIN_RATE_PERCENT: u64 = 95;
 
+tag! {
+    /// `LendingPolicy` is whether shares move between hosts.
+    pub enum LendingPolicy {
+        /// Loans follow demand.
+        Loans,
+        /// Every host keeps its base shares; the baseline of measurements.
+        Static,
+    }
+}
+
 value! {
     /// `RateRefusal` is why no token was had in time.
     pub struct RateRefusal {
@@ -76,6 +86,7 @@
     regions: RefCell<BTreeMap<String, RegionId>>,
     book_generation: Cell<Generation>,
     book_member: Cell<Option<MemberId>>,
+    lending: Cell<LendingPolicy>,
     changed: Event,
 }
 
@@ -140,6 +151,7 @@
             regions: RefCell::new(BTreeMap::new()),
             book_generation: Cell::new(0),
             book_member: Cell::new(None),
+            lending: Cell::new(LendingPolicy::Loans),
             changed: Event::new(),
         })
     }
@@ -151,7 +163,9 @@
             self.sync();
             let now = boot_time();
             let peers = self.peers_in_order(now);
-            let mut outgoing = {
+            let mut outgoing = if self.lending.get() == LendingPolicy::Static {
+                Vec::new()
+            } else {
                 let regions = self.regions.borrow();
                 let sharers = |key: &QuotaKey, peer: &HostId| self.shares(&regions, key, peer);
                 self.book.borrow_mut().asks(now, &peers, sharers)
@@ -168,6 +182,11 @@
         }
     }
 
+    /// Sets whether shares move; measurements compare policies.
+    pub fn set_lending(&self, policy: LendingPolicy) {
+        self.lending.set(policy);
+    }
+
     /// Handles a peer's message about loans.
     pub fn handle(&self, peer: &str, message: &LoanMessage) {
         let now = boot_time();
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -151,16 +151,7 @@
     /// Returns an error when a part cannot start or is not ready in time.
     pub async fn start(plan: ClusterPlan) -> Result<Self> {
         let platform = PlatformStandIn::start(loopback(), 1).await?;
-        let address = platform.address().to_string();
-        let store = StoreClient::new(ClientOptions::with_address(address))?;
-        let mut cluster = Self {
-            plan,
-            platform,
-            targets: BTreeMap::new(),
-            nodes: BTreeMap::new(),
-            keys: BTreeMap::new(),
-            store,
-        };
+        let mut cluster = Self::with_platform(plan, platform)?;
         cluster.start_targets().await?;
         cluster.publish_all().await?;
         for organisation in cluster.plan.organisations.clone() {
@@ -176,6 +167,24 @@
         Ok(cluster)
     }
 
+    /// Creates a deployment without hosts and targets on a store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store's client cannot be set up.
+    pub fn with_platform(plan: ClusterPlan, platform: PlatformStandIn) -> Result<Self> {
+        let address = platform.address().to_string();
+        let store = StoreClient::new(ClientOptions::with_address(address))?;
+        Ok(Self {
+            plan,
+            platform,
+            targets: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            store,
+        })
+    }
+
     /// Waits until all hosts are ready and know each other.
     ///
     /// # Errors
@@ -418,6 +427,11 @@
     }
 }
 
+/// Gets a value as JSON, as it stands in the store.
+pub fn to_json<T: serde::Serialize>(value: &T) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
+
 /// Gets the name of a zone.
 pub fn zone_name(region: &str, index: u32) -> String {
     let letter = if index.is_multiple_of(2) { 'a' } else { 'b' };
--- a/crates/testkit/src/report.rs
+++ b/crates/testkit/src/report.rs
@@ -70,6 +70,18 @@
         self.latency.saturating_record(micros.max(1));
     }
 
+    /// Adds another stream's counts and latencies.
+    pub fn merge(&mut self, other: &StreamReport) {
+        self.sent += other.sent;
+        self.answered += other.answered;
+        self.broken += other.broken;
+        for (reason, count) in &other.refused {
+            *self.refused.entry(reason.clone()).or_default() += count;
+        }
+        // Both histograms have the same bounds, so that none can be refused.
+        let _ = self.latency.add(&other.latency);
+    }
+
     /// Gets the number of requests that were not answered.
     pub fn refused_total(&self) -> u64 {
         self.refused.values().sum()
--- a/crates/tools/src/lib.rs
+++ b/crates/tools/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod errors;
 pub mod explain;
 pub mod keys;
+pub mod loading;
 pub mod moves;
 pub mod overview;
 pub mod page;
