--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -40,8 +40,10 @@
     fetched: RefCell<BTreeMap<String, String>>,
     matcher: RefCell<Rc<RouteMatcher>>,
     blocks: RefCell<Rc<BlockTable>>,
+    commands: RefCell<Rc<Vec<OperatorCommand>>>,
     arrived: Event,
     changed: Event,
+    commands_changed: Event,
 }
 
 impl ConfigService {
@@ -61,8 +63,10 @@
             fetched: RefCell::new(BTreeMap::new()),
             matcher: RefCell::new(Rc::new(RouteMatcher::default())),
             blocks: RefCell::new(Rc::new(BlockTable::default())),
+            commands: RefCell::new(Rc::new(Vec::new())),
             arrived: Event::new(),
             changed: Event::new(),
+            commands_changed: Event::new(),
         })
     }
 
@@ -108,13 +112,30 @@
     }
 
     /// Gets the operators' commands in force.
-    pub fn commands(&self) -> Vec<OperatorCommand> {
-        let read = self.mirrors.with_kind(kinds::COMMANDS, |mirror| {
-            let values = mirror.values();
-            let commands = values.filter_map(|(_, value)| serde_json::from_str(value).ok());
-            commands.collect()
-        });
-        read.unwrap_or_default()
+    pub fn commands(&self) -> Rc<Vec<OperatorCommand>> {
+        Rc::clone(&self.commands.borrow())
+    }
+
+    /// Follows the operators' commands until the process stops.
+    pub async fn follow_commands(self: Rc<Self>) {
+        loop {
+            let Some(listener) = self.mirrors.listen(kinds::COMMANDS) else {
+                return;
+            };
+            let read = self.mirrors.with_kind(kinds::COMMANDS, |mirror| {
+                let values = mirror.values();
+                let commands = values.filter_map(|(_, value)| serde_json::from_str(value).ok());
+                commands.collect::<Vec<OperatorCommand>>()
+            });
+            *self.commands.borrow_mut() = Rc::new(read.unwrap_or_default());
+            self.commands_changed.notify(usize::MAX);
+            listener.await;
+        }
+    }
+
+    /// Gets a listener for the next change of the operators' commands.
+    pub fn listen_commands(&self) -> EventListener {
+        self.commands_changed.listen()
     }
 
     /// Gets the text of a document in force, for a peer.
--- a/crates/entry/src/lookups.rs
+++ b/crates/entry/src/lookups.rs
@@ -145,14 +145,14 @@
 
     fn drained_hosts(&self) -> Vec<String> {
         let mut drained = Vec::new();
-        for command in self.config.commands() {
+        for command in self.config.commands().iter() {
             if let OperatorCommand::Drain {
                 scope: DrainScope::Host,
                 name,
                 ..
             } = command
             {
-                drained.push(name);
+                drained.push(name.clone());
             }
         }
         drained
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -31,10 +31,7 @@
     mesh::{MeshOptions, PeerMesh, PeerNotice},
     message::{HeardPeer, HostState, PeerMessage},
 };
-use fighall_platform::{
-    client::{ClientOptions, StoreClient},
-    object::kinds,
-};
+use fighall_platform::client::{ClientOptions, StoreClient};
 use slog::{Logger, info};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -189,15 +186,14 @@
         }
         kernel.spawn_service(Rc::clone(&self.mirrors).guard_keys());
         kernel.spawn_service(Rc::clone(&self.config).follow());
+        kernel.spawn_service(Rc::clone(&self.config).follow_commands());
         kernel.spawn_service(Rc::clone(&self.members).keep());
         kernel.spawn_service(Rc::clone(&self.members).follow_peers());
         kernel.spawn_service(Rc::clone(&self.quotas).keep());
         let targets = &self.targets;
         kernel.spawn_service(Rc::clone(targets).follow_config());
-        for kind in [kinds::COMMANDS, kinds::HOSTS] {
-            let task = Rc::clone(targets).follow_kind(kind.to_owned());
-            kernel.spawn_service(task);
-        }
+        kernel.spawn_service(Rc::clone(targets).follow_commands());
+        kernel.spawn_service(Rc::clone(targets).follow_list());
         kernel.spawn_service(Rc::clone(targets).keep());
         kernel.spawn_service(Rc::clone(self).read_inbox());
         kernel.spawn_service(Rc::clone(self).renew_state());
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -195,10 +195,19 @@
         }
     }
 
-    /// Takes over drains and the platform's list as they change.
-    pub async fn follow_kind(self: Rc<Self>, kind: String) {
+    /// Takes over drains as they change.
+    pub async fn follow_commands(self: Rc<Self>) {
         loop {
-            let Some(listener) = self.mirrors.listen(&kind) else {
+            let listener = self.config.listen_commands();
+            self.apply_absences();
+            listener.await;
+        }
+    }
+
+    /// Takes over the platform's list as it changes.
+    pub async fn follow_list(self: Rc<Self>) {
+        loop {
+            let Some(listener) = self.mirrors.listen(kinds::HOSTS) else {
                 return;
             };
             self.apply_absences();
--- a/crates/quota/src/slots.rs
+++ b/crates/quota/src/slots.rs
@@ -329,6 +329,16 @@
     }
 
     fn settle(&mut self, now: BootTime) {
+        let idle = self.borrowed.is_empty() && self.lent.is_empty();
+        let settled = idle && self.pending.is_empty() && self.accepted.is_empty();
+        if settled
+            && self
+                .base
+                .as_ref()
+                .is_none_or(|base| base.raise_at.is_none())
+        {
+            return;
+        }
         self.borrowed.retain(|_, loan| loan.expires_at > now);
         self.lent.retain(|_, loan| loan.reclaim_at > now);
         let term = self.options.term;
--- a/crates/route/src/board.rs
+++ b/crates/route/src/board.rs
@@ -7,7 +7,7 @@
     ids::{BootTime, HostId, ServiceId, TargetId},
     message, tag, value,
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 /// Age beyond which a report of a peer or a target counts for nothing.
 const REPORT_AGE: Duration = Duration::from_secs(5);
@@ -115,7 +115,7 @@
 #[derive(Debug, Default)]
 pub struct TargetBoard {
     records: BTreeMap<TargetId, TargetRecord>,
-    services: BTreeMap<ServiceId, Vec<TargetId>>,
+    services: BTreeMap<ServiceId, Rc<Vec<TargetId>>>,
     started: bool,
 }
 
@@ -147,7 +147,7 @@
                 };
                 self.records.insert(target.name.clone(), record);
             }
-            self.services.insert(service.name.clone(), names);
+            self.services.insert(service.name.clone(), Rc::new(names));
         }
         self.started = true;
     }
@@ -190,7 +190,14 @@
 
     /// Gets the names of a service's targets.
     pub fn targets_of(&self, service: &str) -> &[TargetId] {
-        self.services.get(service).map_or(&[], Vec::as_slice)
+        self.services
+            .get(service)
+            .map_or(&[], |names| names.as_slice())
+    }
+
+    /// Gets the names of a service's targets for use while the board changes.
+    pub fn shared_targets_of(&self, service: &str) -> Rc<Vec<TargetId>> {
+        self.services.get(service).cloned().unwrap_or_default()
     }
 
     /// Gets all records in the order of their names.
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -93,25 +93,27 @@
     rng: &mut Rng,
     room: impl Fn(&TargetId) -> SlotRoom,
 ) -> Option<TargetPlacement> {
-    let eligible = eligible_targets(board, now, query, &room);
-    if eligible.is_empty() {
-        return None;
+    let names = board.shared_targets_of(query.service);
+    let mut drawn = draw(board, now, query, rng, &names, &room);
+    if drawn.is_empty() && query.last_resort {
+        let unhealthy = unhealthy_targets(board, now, query, &names, &room);
+        let index = (!unhealthy.is_empty()).then(|| rng.usize(0..unhealthy.len()));
+        drawn.extend(index.and_then(|index| unhealthy.get(index).cloned()));
     }
-    let (first, second) = draw_pair(&eligible, query.policy, rng);
-    let winner = better(board, now, query, first, second);
-    let loser = if winner == first { second } else { first };
+    let mut candidates = drawn.into_iter();
+    let first = candidates.next()?;
     let mut runners_up = Vec::new();
-    if loser != winner {
-        runners_up.push(RunnerUp {
-            name: loser.clone(),
-            reason: "more loaded of the two drawn".to_owned(),
-        });
-    }
-    for name in &eligible {
-        if name != winner && name != loser && runners_up.len() < RUNNERS_UP_LIMIT {
+    let mut winner = first;
+    for candidate in candidates {
+        let loser = if is_better(board, now, query, &candidate, &winner) {
+            std::mem::replace(&mut winner, candidate)
+        } else {
+            candidate
+        };
+        if runners_up.len() < RUNNERS_UP_LIMIT {
             runners_up.push(RunnerUp {
-                name: name.clone(),
-                reason: "not drawn".to_owned(),
+                name: loser,
+                reason: "more loaded of those drawn".to_owned(),
             });
         }
     }
@@ -121,46 +123,80 @@
         PlacementPolicy::LeastLoaded => "least loaded",
     };
     Some(TargetPlacement {
-        target: winner.clone(),
+        target: winner,
         reason: reason.to_owned(),
         runners_up,
     })
 }
 
-fn eligible_targets(
+// Draws targets that can take the request, without looking at more of them than it must.
+fn draw(
+    board: &mut TargetBoard,
+    now: BootTime,
+    query: &PlacementQuery<'_>,
+    rng: &mut Rng,
+    names: &[TargetId],
+    room: &impl Fn(&TargetId) -> SlotRoom,
+) -> Vec<TargetId> {
+    let wanted = match query.policy {
+        PlacementPolicy::Random => 1,
+        PlacementPolicy::TwoChoices => 2,
+        PlacementPolicy::LeastLoaded => names.len(),
+    };
+    let mut order: Vec<usize> = (0..names.len()).collect();
+    let mut drawn = Vec::with_capacity(wanted);
+    for position in 0..order.len() {
+        if drawn.len() >= wanted {
+            break;
+        }
+        // One step of a Fisher-Yates shuffle: each remaining target is as likely as any other.
+        let other = rng.usize(position..order.len());
+        order.swap(position, other);
+        let name = &names[order[position]];
+        let Some(record) = board.get_mut(name) else {
+            continue;
+        };
+        let usable = is_eligible(record, query) && !record.health.is_ejected(now);
+        if usable && has_room(record, now, room(name)) {
+            drawn.push(name.clone());
+        }
+    }
+    drawn
+}
+
+// The targets that look unhealthy and could take the request, if no healthy one is there at all.
+fn unhealthy_targets(
     board: &mut TargetBoard,
     now: BootTime,
     query: &PlacementQuery<'_>,
+    names: &[TargetId],
     room: &impl Fn(&TargetId) -> SlotRoom,
 ) -> Vec<TargetId> {
-    let names = board.targets_of(query.service).to_vec();
-    let mut eligible = Vec::with_capacity(names.len());
     let mut unhealthy = Vec::new();
-    let mut any_healthy = false;
     for name in names {
-        let Some(record) = board.get_mut(&name) else {
+        let Some(record) = board.get_mut(name) else {
             continue;
         };
-        if record.target.region != *query.region || record.absence.is_some() {
+        let absent = record.target.region != *query.region || record.absence.is_some();
+        if absent {
             continue;
         }
-        let ejected = record.health.is_ejected(now);
-        any_healthy |= !ejected;
-        if query.tried.contains(&name) || !has_room(record, now, room(&name)) {
-            continue;
+        if !record.health.is_ejected(now) {
+            return Vec::new();
         }
-        if ejected {
-            unhealthy.push(name);
-        } else {
-            eligible.push(name);
+        if is_eligible(record, query) && has_room(record, now, room(name)) {
+            unhealthy.push(name.clone());
         }
     }
-    if any_healthy || !query.last_resort {
-        return eligible;
-    }
     unhealthy
 }
 
+fn is_eligible(record: &TargetRecord, query: &PlacementQuery<'_>) -> bool {
+    record.target.region == *query.region
+        && record.absence.is_none()
+        && !query.tried.contains(&record.target.name)
+}
+
 fn has_room(record: &mut TargetRecord, now: BootTime, room: SlotRoom) -> bool {
     if room.free == 0 {
         return false;
@@ -169,34 +205,19 @@
     part >= 1.0 || room.held - room.free < allowed(room.held, part)
 }
 
-fn draw_pair<'e>(
-    eligible: &'e [TargetId],
-    policy: PlacementPolicy,
-    rng: &mut Rng,
-) -> (&'e TargetId, &'e TargetId) {
-    let first = rng.usize(0..eligible.len());
-    if eligible.len() == 1 || policy == PlacementPolicy::Random {
-        return (&eligible[first], &eligible[first]);
-    }
-    let second = (first + rng.usize(1..eligible.len())) % eligible.len();
-    (&eligible[first], &eligible[second])
-}
-
-fn better<'e>(
+fn is_better(
     board: &TargetBoard,
     now: BootTime,
     query: &PlacementQuery<'_>,
-    first: &'e TargetId,
-    second: &'e TargetId,
-) -> &'e TargetId {
-    let (Some(a), Some(b)) = (board.get(first), board.get(second)) else {
-        return first;
-    };
-    let key = |record: &TargetRecord| {
+    candidate: &TargetId,
+    known: &TargetId,
+) -> bool {
+    let key = |name: &TargetId| {
+        let record = board.get(name)?;
         let load = u64::from(record.busy(now)) * 1_000 / u64::from(record.target.slots.max(1));
-        (load, record.target.zone != *query.zone)
+        Some((load, record.target.zone != *query.zone))
     };
-    if key(b) < key(a) { second } else { first }
+    key(candidate) < key(known)
 }
 
 /// Lists every target of a service with what stands in its way, for explanations.
--- a/crates/testkit/src/report.rs
+++ b/crates/testkit/src/report.rs
@@ -9,6 +9,8 @@
     time::Duration,
 };
 
+/// Highest latency told apart, in microseconds.
+const LATENCY_LIMIT_US: u64 = 600_000_000;
 /// Digits that latencies are kept to.
 const PRECISION: u8 = 3;
 
@@ -60,7 +62,8 @@
             refused: BTreeMap::new(),
             answered_marks: BTreeSet::new(),
             not_run_marks: BTreeSet::new(),
-            latency: Histogram::new(PRECISION).unwrap_or_else(|_| unreachable!()),
+            latency: Histogram::new_with_bounds(1, LATENCY_LIMIT_US, PRECISION)
+                .unwrap_or_else(|_| unreachable!("the bounds are valid")),
         }
     }
 
--- /dev/null
+++ b/crates/tools/examples/field_tables.rs
@@ -0,0 +1,16 @@
+//! Prints the field tables of docs/CONFIGURATION.md.
+
+use fighall_config::tables::DOCUMENT_TABLES;
+use fighall_entry::settings::SETTINGS_TABLE;
+use fighall_tools::loading::{EXPERIMENT_TABLE, STREAM_TABLE};
+
+fn main() {
+    println!("{}", SETTINGS_TABLE.section());
+    println!("@");
+    for table in DOCUMENT_TABLES {
+        println!("{}", table.section());
+    }
+    println!("@");
+    println!("{}", EXPERIMENT_TABLE.section());
+    println!("{}", STREAM_TABLE.section());
+}
