Boot a host from its peers while the store is down

Cause: a host that starts during an outage knew nobody: peers are found by the member leases, which are in the store. Its first test passed only since the host had read the leases before the outage began. Change: settings name seeds, which are asked while no lease is known; a host answers one that it does not dial on the accepted link. Conclusion: a cold start needs the store or one live peer.

--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -198,8 +198,9 @@
             return;
         }
         let mut peers = Vec::new();
+        let store_up = self.store.is_up();
         for view in self.mesh.views() {
-            let has = view.state.generation >= pointer.generation;
+            let has = !store_up || view.state.generation >= pointer.generation;
             if has && view.link == LinkState::Up {
                 peers.push(view.peer.host);
             }
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -55,16 +55,18 @@
     held: RefCell<Option<HeldMember>>,
     proved_at: Cell<BootTime>,
     lease_time: Cell<Duration>,
+    seeds: Vec<String>,
     changed: Event,
 }
 
 impl MemberService {
-    /// Creates a service that holds no id.
+    /// Creates a service that holds no id. `seeds` are addresses of hosts to ask while no member
+    /// lease is known.
     ///
     /// # Errors
     ///
     /// Returns an error when a service that it needs is missing.
-    pub fn new(kernel: &Rc<MicroKernel>) -> Result<Self> {
+    pub fn new(kernel: &Rc<MicroKernel>, seeds: Vec<String>) -> Result<Self> {
         let options = TableOptions::default();
         Ok(Self {
             identity: kernel.find(names::IDENTITY)?,
@@ -74,6 +76,7 @@
             mirrors: kernel.find(names::MIRRORS)?,
             config: kernel.find(names::CONFIGURATION)?,
             kernel: Rc::clone(kernel),
+            seeds,
             lease_time: Cell::new(options.lease_time),
             table: RefCell::new(MemberTable::new(options, 0..0)),
             held: RefCell::new(None),
@@ -241,6 +244,10 @@
                 zone: lease.zone,
             });
         }
+        // Without any lease, the hosts that the settings name are asked.
+        if peers.is_empty() {
+            peers.extend(self.seeds.iter().map(|seed| PeerAddress::with_seed(seed)));
+        }
         self.mesh.set_peers(&peers);
     }
 
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -98,7 +98,7 @@
         kernel.register(names::MIRRORS, Rc::clone(&mirrors))?;
         let config = Rc::new(ConfigService::new(&kernel)?);
         kernel.register(names::CONFIGURATION, Rc::clone(&config))?;
-        let members = Rc::new(MemberService::new(&kernel)?);
+        let members = Rc::new(MemberService::new(&kernel, settings.seeds.clone())?);
         kernel.register(names::MEMBERS, Rc::clone(&members))?;
         let quotas = Rc::new(QuotaService::new(&kernel)?);
         kernel.register(names::QUOTAS, Rc::clone(&quotas))?;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -37,6 +37,10 @@
             "IP address that others reach this host at; by default that of each address above",
         ),
         FieldSpec::texts("store", "Addresses of the platform's store, as IP and port"),
+        FieldSpec::texts(
+            "seeds",
+            "Addresses of other hosts' links, asked while the store cannot tell who they are",
+        ),
         FieldSpec::text_or(
             "fleet_secret_file",
             "",
@@ -128,6 +132,8 @@
         pub advertise: Option<std::net::IpAddr>,
         /// Addresses of the store.
         pub store: Vec<String>,
+        /// Addresses of other hosts' links.
+        pub seeds: Vec<String>,
         /// Secret that entry hosts share.
         pub fleet_secret: SecretText,
         /// Operators' token.
@@ -167,6 +173,7 @@
             operators: loopback,
             advertise: None,
             store: vec![store.to_owned()],
+            seeds: Vec::new(),
             fleet_secret: SecretText::new("local-fleet".to_owned()),
             operator_token: SecretText::new("local-operator".to_owned()),
             log_level: slog::Level::Warning,
@@ -216,7 +223,11 @@
         } else {
             None
         };
-        let store = read_store(reader);
+        let store = read_addresses(reader, "store");
+        if store.is_empty() {
+            reader.report("store", "`store` needs at least one address");
+        }
+        let seeds = read_addresses(reader, "seeds");
         let fleet_secret = read_secret(reader, "fleet_secret_file", SECRET_VARIABLE);
         let operator_token = read_secret(reader, "operator_token_file", TOKEN_VARIABLE);
         let log_level = read_level(reader);
@@ -243,6 +254,7 @@
             operators: operators?,
             advertise,
             store,
+            seeds,
             fleet_secret: fleet_secret?,
             operator_token: operator_token?,
             log_level: log_level?,
@@ -258,20 +270,14 @@
     }
 }
 
-fn read_store(reader: &ObjectReader<'_, '_>) -> Vec<String> {
-    let store = reader.texts("store");
-    if store.is_empty() {
-        reader.report("store", "`store` needs at least one address");
-    }
-    for address in &store {
+fn read_addresses(reader: &ObjectReader<'_, '_>, field: &str) -> Vec<String> {
+    let addresses = reader.texts(field);
+    for address in &addresses {
         if address.parse::<SocketAddr>().is_err() {
-            reader.report(
-                "store",
-                format!("`{address}` is not an IP address and port"),
-            );
+            reader.report(field, format!("`{address}` is not an IP address and port"));
         }
     }
-    store
+    addresses
 }
 
 fn read_level(reader: &ObjectReader<'_, '_>) -> Option<slog::Level> {
--- a/crates/peer/src/accept.rs
+++ b/crates/peer/src/accept.rs
@@ -34,6 +34,14 @@
     let bound = mesh.options.silence;
     tcp.set_nodelay(true).map_err(Error::link)?;
     let (mut link, hello) = within(bound, open(mesh, tcp)).await?;
+    mesh.open_replies(&hello.host);
+    let ended = receive_all(mesh, &hello, &mut link).await;
+    mesh.close_replies(&hello.host);
+    ended
+}
+
+async fn receive_all(mesh: &PeerMesh, hello: &LinkHello, link: &mut MessageLink) -> Result<()> {
+    let bound = mesh.options.silence;
     loop {
         // The dialling side sends a heartbeat at least this often.
         let received = link.receive::<PeerEnvelope>();
@@ -50,8 +58,9 @@
             sequence: envelope.sequence,
             stamp: mesh.ring.stamp(),
             mirrors,
+            messages: mesh.take_replies(&hello.host),
         };
-        take_in(mesh, &hello, envelope)?;
+        take_in(mesh, hello, envelope)?;
         within(bound, link.send(&ack)).await?;
     }
 }
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -14,6 +14,10 @@
 /// Largest message, in bytes. A document of the configuration has at most a mebibyte.
 const MESSAGE_LIMIT: usize = 4 << 20;
 
+/// Bytes that one read may bring. The library clears its buffer before each read, so that a large
+/// one costs more than the messages that it would save reads for.
+const READ_BUFFER: usize = 8 << 10;
+
 type LinkStream = Compat<Pin<Box<AsyncStream<TcpStream>>>>;
 
 /// `MessageLink` sends and receives messages over one WebSocket.
@@ -114,6 +118,7 @@
 
 fn socket_config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER)
         .max_message_size(Some(MESSAGE_LIMIT))
         .max_frame_size(Some(MESSAGE_LIMIT))
 }
--- a/crates/peer/src/dial.rs
+++ b/crates/peer/src/dial.rs
@@ -103,7 +103,7 @@
     if !proved {
         return Err(Error::Proof);
     }
-    if welcome.host != host {
+    if !peer.is_seed() && welcome.host != host {
         return Err(Error::Unexpected);
     }
     Ok((link, welcome))
@@ -149,6 +149,10 @@
             mesh.ring.observe(ack.stamp);
             outbox.borrow_mut().acknowledge(ack.sequence);
             note_ack(mesh, host, &ack, &mut heartbeats);
+            for message in ack.messages {
+                let peer = host.to_owned();
+                mesh.notify(PeerNotice::Received { peer, message });
+            }
         }
         // The entry is gone when the peer is no longer wanted.
         if mesh.address_of(host).is_none() {
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -107,6 +107,9 @@
     pub(crate) sequence: u64,
 }
 
+/// Most answers queued to a host that this one does not dial.
+const REPLY_LIMIT: usize = 256;
+
 /// `PeerMesh` holds every link of one host.
 pub struct PeerMesh {
     pub(crate) options: MeshOptions,
@@ -114,6 +117,8 @@
     pub(crate) ring: Rc<EventRing>,
     pub(crate) peers: RefCell<BTreeMap<HostId, PeerEntry>>,
     pub(crate) heard: RefCell<BTreeMap<HostId, HeardSender>>,
+    // Answers to hosts that dialled this one and that it does not dial itself.
+    replies: RefCell<BTreeMap<HostId, VecDeque<PeerMessage>>>,
     state: RefCell<HostState>,
     marks: RefCell<BTreeMap<String, MirrorMark>>,
     inbox: RefCell<VecDeque<PeerNotice>>,
@@ -143,6 +148,7 @@
             ring,
             peers: RefCell::new(BTreeMap::new()),
             heard: RefCell::new(BTreeMap::new()),
+            replies: RefCell::new(BTreeMap::new()),
             state: RefCell::new(HostState::default()),
             marks: RefCell::new(BTreeMap::new()),
             inbox: RefCell::new(VecDeque::new()),
@@ -194,11 +200,41 @@
         let stamp = self.ring.stamp();
         let outbox = match self.peers.borrow().get(peer) {
             Some(entry) => Rc::clone(&entry.outbox),
-            None => return false,
+            None => return self.reply(peer, message),
         };
         outbox.borrow_mut().push(stamp, message)
     }
 
+    fn reply(&self, peer: &str, message: PeerMessage) -> bool {
+        let mut replies = self.replies.borrow_mut();
+        let Some(queue) = replies.get_mut(peer) else {
+            return false;
+        };
+        if queue.len() >= REPLY_LIMIT {
+            return false;
+        }
+        queue.push_back(message);
+        true
+    }
+
+    pub(crate) fn open_replies(&self, peer: &str) {
+        self.replies
+            .borrow_mut()
+            .entry(peer.to_owned())
+            .or_default();
+    }
+
+    pub(crate) fn close_replies(&self, peer: &str) {
+        self.replies.borrow_mut().remove(peer);
+    }
+
+    pub(crate) fn take_replies(&self, peer: &str) -> Vec<PeerMessage> {
+        let mut replies = self.replies.borrow_mut();
+        replies
+            .get_mut(peer)
+            .map_or_else(Vec::new, |queue| queue.drain(..).collect())
+    }
+
     /// Queues a message to all peers.
     pub fn broadcast(&self, message: &PeerMessage) {
         let hosts: Vec<_> = self.peers.borrow().keys().cloned().collect();
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -190,5 +190,7 @@
         pub stamp: HybridStamp,
         /// How far the receiver's mirrors are; only in answers to heartbeats.
         pub mirrors: Vec<MirrorState>,
+        /// Answers to a host to which the receiver keeps no link of its own.
+        pub messages: Vec<PeerMessage>,
     }
 }
--- a/crates/peer/src/view.rs
+++ b/crates/peer/src/view.rs
@@ -35,6 +35,25 @@
     }
 }
 
+impl PeerAddress {
+    /// Creates the address of a host that is known by its address alone, from the settings of a
+    /// host that starts while the store is down.
+    pub fn with_seed(address: &str) -> Self {
+        Self {
+            host: format!("seed-{address}"),
+            incarnation: 0,
+            address: address.to_owned(),
+            region: RegionId::new(),
+            zone: ZoneId::new(),
+        }
+    }
+
+    /// Tells whether the host's name is not known.
+    pub fn is_seed(&self) -> bool {
+        self.incarnation == 0
+    }
+}
+
 value! {
     /// `PeerView` is what is known of one peer.
     pub struct PeerView {
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -210,7 +210,11 @@
     pub async fn start_host(&mut self, name: &str, region: &str, index: u32) -> Result<()> {
         let zone = zone_name(region, index);
         let store = self.platform.address().to_string();
-        let settings = EntrySettings::with_host(name, region, &zone, &store);
+        let mut settings = EntrySettings::with_host(name, region, &zone, &store);
+        let nodes = self.nodes.values();
+        settings.seeds = nodes
+            .map(|node| node.identity().peer_address.clone())
+            .collect();
         let node = EntryNode::start(settings, quiet_logger()).await?;
         self.list_host(name, HostState::Live, &node.identity().peer_address);
         self.nodes.insert(name.to_owned(), node);
