Add scripted scenarios and tests of links that go silent

Cause: the users ask for proofs by scenarios in a small test language, and links between hosts had no test of their own. Change: scenarios in Rhai with deployments, load, faults and expectations, whose findings come with their places; a relay that lets open connections go silent. Conclusion: operators can write their own scenarios.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod load;
 pub mod platform;
 pub mod record;
+pub mod relay;
 pub mod report;
+pub mod scenario;
 pub mod server;
 pub mod target;
