--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 mod blocks;
+mod caches;
 mod decision;
 mod memory;
 mod overload;
@@ -30,6 +31,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(Command::new("blocks").about("The table of client blocks, by size"))
+        .subcommand(Command::new("caches").about("Targets' caches under several placements"))
         .subcommand(Command::new("decision").about("Admission and placement of one request"))
         .subcommand(Command::new("shares").about("Shares: memory by quota, time by transfer"))
         .subcommand(Command::new("peers").about("Messages between hosts: bytes and time by size"))
@@ -58,6 +60,7 @@
     let seconds = || arguments.get_one::<u64>("seconds").copied().unwrap_or(5);
     match name {
         "blocks" => blocks::run(),
+        "caches" => caches::run(),
         "decision" => decision::run(),
         "shares" => shares::run(),
         "peers" => peers::run(),
--- a/crates/entry/src/quotas.rs
+++ b/crates/entry/src/quotas.rs
@@ -400,7 +400,6 @@
         }
     }
 
-    // The own share will not bring a token in time, and everyone asked has nothing to lend.
     fn is_hopeless(&self, organisation: &str, key: &QuotaKey, give_up_at: BootTime) -> bool {
         let now = boot_time();
         let ahead = self
@@ -409,10 +408,8 @@
             .get(organisation)
             .copied()
             .unwrap_or(0);
-        let mut book = self.book.borrow_mut();
-        let wait = book.wait_for(now, key, ahead);
-        let in_time = wait.is_some_and(|wait| now + wait <= give_up_at);
-        !in_time && book.asked_in_vain(now, key)
+        let bound = give_up_at.saturating_sub(now);
+        self.book.borrow_mut().is_hopeless(now, key, ahead, bound)
     }
 
     fn rate_refusal(&self, organisation: &str, key: &QuotaKey) -> RateRefusal {
--- a/crates/quota/src/book.rs
+++ b/crates/quota/src/book.rs
@@ -3,6 +3,7 @@
 use crate::{
     amount::{MicroTokens, QuotaLimit, TOKEN, gain},
     base::BaseHolder,
+    demand::DemandRate,
     loan::{LoanAnswer, LoanAsk, LoanMessage, QuotaKey},
     rate::{RateLedger, RateOptions, ShareView, reserve_for},
     slots::{SlotLedger, SlotTicket, SlotView, rotated_member},
@@ -73,6 +74,8 @@
     asked_at: BootTime,
     rounds: u32,
     open_asks: usize,
+    // Tokens that loans bring, as a rate.
+    gained: DemandRate,
 }
 
 #[derive(Debug)]
@@ -232,10 +235,24 @@
         entry.ledger.wait_for(now, total)
     }
 
-    /// Tells whether everyone who was asked has answered, at least two rounds long.
-    pub fn asked_in_vain(&mut self, now: BootTime, key: &QuotaKey) -> bool {
+    /// Tells whether a request that begins to wait now would wait in vain: everyone was asked at
+    /// least twice and has answered, and neither the share held nor what loans have brought of
+    /// late serves those who wait within `bound`.
+    pub fn is_hopeless(
+        &mut self,
+        now: BootTime,
+        key: &QuotaKey,
+        ahead: u64,
+        bound: Duration,
+    ) -> bool {
         let entry = self.rate_entry(now, key);
-        entry.rounds >= 2 && entry.open_asks == 0
+        if entry.rounds < 2 || entry.open_asks > 0 {
+            return false;
+        }
+        let view = entry.ledger.view(now);
+        let rate = view.held.rate.saturating_add(entry.gained.rate(now));
+        let expected = view.tokens.saturating_add(gain(rate, bound));
+        entry.waiting.saturating_add(ahead) > expected
     }
 
     /// Takes a slot of a target for a request that ends by `deadline`.
@@ -416,7 +433,7 @@
         entry.open_asks = entry.open_asks.saturating_sub(1);
         let gained = entry.ledger.accept(now, peer, answer);
         if gained > 0 {
-            entry.rounds = 0;
+            entry.gained.add(now, gained);
         }
     }
 
@@ -433,6 +450,7 @@
                 asked_at: Duration::ZERO,
                 rounds: 0,
                 open_asks: 0,
+                gained: DemandRate::new(now),
             };
             self.rates.insert(key.clone(), entry);
         }
