Keep requests of a path on few targets where a route asks for it

In the test 12 paths keep to one target each, and one of 150 requests a second of 100 ms is answered whole within all slots.

--- a/crates/bench/src/decision.rs
+++ b/crates/bench/src/decision.rs
@@ -125,6 +125,7 @@
             zone: &zone,
             tried: &[],
             policy: PlacementPolicy::TwoChoices,
+            affinity: None,
             last_resort: true,
         };
         let placement = place(board, now, &query, &mut rng, |target| {
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -51,6 +51,11 @@
             "Methods that may be sent again after an unknown outcome",
         ),
         FieldSpec::flag("open", false, "Whether the route is served without a key"),
+        FieldSpec::flag(
+            "affinity",
+            false,
+            "Keeps requests of the same path and query on few targets, for their caches",
+        ),
         FieldSpec::integer(
             "deadline_ms",
             "milliseconds",
@@ -127,6 +132,9 @@
         pub idempotent: Vec<String>,
         /// Whether no key is needed.
         pub open: bool,
+        /// Whether requests of the same path and query are kept on few targets.
+        #[serde(default)]
+        pub affinity: bool,
         /// Deadline in milliseconds.
         pub deadline_ms: u64,
         /// Largest request body in KiB.
@@ -195,6 +203,7 @@
             methods: reader.texts("methods"),
             idempotent: reader.texts("idempotent"),
             open: reader.flag("open"),
+            affinity: reader.flag("affinity"),
             deadline_ms: reader.integer("deadline_ms"),
             body_limit_kib: reader.integer("body_limit_kib"),
         };
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -83,6 +83,11 @@
         self.organisation.as_deref().unwrap_or("")
     }
 
+    /// Gets the path and query whose requests are kept on few targets, if the route asks for it.
+    pub fn affinity(&self) -> Option<&str> {
+        self.route.affinity.then(|| self.target.as_str())
+    }
+
     /// Gets the subject of events about the request.
     pub fn subject(&self) -> EventSubject {
         EventSubject {
--- a/crates/entry/src/slots.rs
+++ b/crates/entry/src/slots.rs
@@ -64,6 +64,7 @@
     pub(crate) weight: u64,
     pub(crate) deadline: BootTime,
     pub(crate) tried: Vec<TargetId>,
+    pub(crate) affinity: Option<String>,
     pub(crate) lease: RefCell<Option<SlotLease>>,
     pub(crate) gone: Cell<bool>,
     pub(crate) evicted: Cell<bool>,
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -187,7 +187,14 @@
         if waiting {
             return None;
         }
-        self.take_slot(&context.service, tried, context.deadline, last_resort)
+        let affinity = context.affinity();
+        self.take_slot(
+            &context.service,
+            tried,
+            affinity,
+            context.deadline,
+            last_resort,
+        )
     }
 
     /// Waits in the fair queue for a slot of a target of this region.
@@ -217,6 +224,7 @@
             weight: context.weight,
             deadline: context.deadline,
             tried: tried.to_vec(),
+            affinity: context.affinity().map(str::to_owned),
             lease: RefCell::new(None),
             gone: Cell::new(false),
             evicted: Cell::new(false),
@@ -282,6 +290,7 @@
             zone: &self.identity.zone,
             tried: &[],
             policy: self.policy.get(),
+            affinity: None,
             last_resort: false,
         };
         let board = self.board.borrow();
@@ -404,9 +413,10 @@
             let Some(waiter) = self.next_waiter(service) else {
                 return;
             };
+            let affinity = waiter.affinity.as_deref();
             let lease = self
-                .take_slot(service, &waiter.tried, waiter.deadline, true)
-                .or_else(|| self.take_slot(service, &[], waiter.deadline, true));
+                .take_slot(service, &waiter.tried, affinity, waiter.deadline, true)
+                .or_else(|| self.take_slot(service, &[], affinity, waiter.deadline, true));
             let Some(lease) = lease else {
                 // The free slots are borrowed and end too early for this request.
                 self.put_back(service, waiter);
@@ -424,7 +434,7 @@
                 .get(service)
                 .is_some_and(|entry| !entry.queue.is_empty())
         };
-        waiting && self.pick(service, &[], true).is_some()
+        waiting && self.pick(service, &[], None, true).is_some()
     }
 
     fn next_waiter(&self, service: &str) -> Option<Rc<Waiter>> {
@@ -454,6 +464,7 @@
         &self,
         service: &str,
         tried: &[TargetId],
+        affinity: Option<&str>,
         last_resort: bool,
     ) -> Option<TargetPlacement> {
         let query = PlacementQuery {
@@ -462,6 +473,7 @@
             zone: &self.identity.zone,
             tried,
             policy: self.policy.get(),
+            affinity,
             last_resort,
         };
         let mut board = self.board.borrow_mut();
@@ -475,12 +487,13 @@
         self: &Rc<Self>,
         service: &str,
         tried: &[TargetId],
+        affinity: Option<&str>,
         deadline: BootTime,
         last_resort: bool,
     ) -> Option<SlotLease> {
         let mut refused: Vec<TargetId> = tried.to_vec();
         loop {
-            let placement = self.pick(service, &refused, last_resort)?;
+            let placement = self.pick(service, &refused, affinity, last_resort)?;
             match self.quotas.occupy(&placement.target, deadline) {
                 Some(ticket) => return self.new_lease(service, placement, ticket),
                 // The free slots are borrowed and end too early for this request.
--- a/crates/route/src/placement.rs
+++ b/crates/route/src/placement.rs
@@ -9,7 +9,7 @@
 use fighall_core::{
     event::RunnerUp,
     ids::{BootTime, RegionId, TargetId, ZoneId},
-    tag, value,
+    rendezvous, tag, value,
 };
 
 tag! {
@@ -37,6 +37,8 @@
         pub tried: &'a [TargetId],
         /// Policy.
         pub policy: PlacementPolicy,
+        /// Path and query whose requests are kept on few targets, if any.
+        pub affinity: Option<&'a str>,
         /// Whether a target that looks unhealthy is better than none.
         pub last_resort: bool,
     }
@@ -101,24 +103,31 @@
         drawn.extend(index.and_then(|index| unhealthy.get(index).cloned()));
     }
     let mut candidates = drawn.into_iter();
-    let first = candidates.next()?;
+    let mut winner = candidates.next()?;
     let mut runners_up = Vec::new();
-    let mut winner = first;
+    let kept = query.affinity.is_some() && is_lightly_loaded(board, now, &winner);
     for candidate in candidates {
-        let loser = if is_better(board, now, query, &candidate, &winner) {
+        let better = !kept && is_better(board, now, query, &candidate, &winner);
+        let loser = if better {
             std::mem::replace(&mut winner, candidate)
         } else {
             candidate
         };
         if runners_up.len() < RUNNERS_UP_LIMIT {
+            let reason = if kept {
+                "not first by hash"
+            } else {
+                "more loaded of those drawn"
+            };
             runners_up.push(RunnerUp {
                 name: loser,
-                reason: "more loaded of those drawn".to_owned(),
+                reason: reason.to_owned(),
             });
         }
     }
     let reason = match query.policy {
-        PlacementPolicy::TwoChoices => "less loaded of two drawn at random",
+        _ if kept => "first by the path's hash",
+        PlacementPolicy::TwoChoices => "less loaded of two drawn",
         PlacementPolicy::Random => "drawn at random",
         PlacementPolicy::LeastLoaded => "least loaded",
     };
@@ -143,15 +152,17 @@
         PlacementPolicy::TwoChoices => 2,
         PlacementPolicy::LeastLoaded => names.len(),
     };
-    let mut order: Vec<usize> = (0..names.len()).collect();
+    let mut order = draw_order(query, names);
     let mut drawn = Vec::with_capacity(wanted);
     for position in 0..order.len() {
         if drawn.len() >= wanted {
             break;
         }
-        // One step of a Fisher-Yates shuffle: each remaining target is as likely as any other.
-        let other = rng.usize(position..order.len());
-        order.swap(position, other);
+        if query.affinity.is_none() {
+            // One step of a Fisher-Yates shuffle: each remaining target is as likely as any other.
+            let other = rng.usize(position..order.len());
+            order.swap(position, other);
+        }
         let name = &names[order[position]];
         let Some(record) = board.get_mut(name) else {
             continue;
@@ -164,6 +175,23 @@
     drawn
 }
 
+// With affinity, targets come in the order of their weights for the path: those without room are
+// passed over, so that a path that needs more than one target spreads over as many as it needs
+// (consistent hashing with bounded loads; Mirrokni et al., 2018).
+fn draw_order(query: &PlacementQuery<'_>, names: &[TargetId]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..names.len()).collect();
+    if let Some(path) = query.affinity {
+        rendezvous::rank(path, &mut order, |index| names[*index].clone());
+    }
+    order
+}
+
+// Below three quarters of its slots a target takes all requests of the paths that are first there.
+fn is_lightly_loaded(board: &TargetBoard, now: BootTime, name: &TargetId) -> bool {
+    let record = board.get(name);
+    record.is_some_and(|record| record.busy(now) * 4 < record.target.slots * 3)
+}
+
 // The targets that look unhealthy and could take the request, if no healthy one is there at all.
 fn unhealthy_targets(
     board: &mut TargetBoard,
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -405,6 +405,7 @@
             routes: vec![
                 route("/", false, self.plan.deadline_ms),
                 route("/open", true, self.plan.deadline_ms),
+                route("/cached", false, self.plan.deadline_ms),
             ],
             targets,
             load_path: "/load".to_owned(),
@@ -436,6 +437,7 @@
         methods: Vec::new(),
         idempotent: vec!["GET".to_owned(), "HEAD".to_owned()],
         open,
+        affinity: path == "/cached",
         deadline_ms,
         body_limit_kib: 1_024,
     }
--- a/crates/testkit/tests/path.rs
+++ b/crates/testkit/tests/path.rs
@@ -241,3 +241,37 @@
         }
     });
 }
+
+#[test]
+fn requests_of_a_path_stay_on_one_target_until_it_is_loaded() {
+    run(async {
+        let cluster = LocalCluster::start(small()).await.unwrap();
+        let caller = cluster.caller("andes");
+        let mut homes = std::collections::BTreeSet::new();
+        for path in 0..12 {
+            let target = format!("/cached/{path}");
+            let request =
+                CallRequest::new("GET", SERVICE_HOST, &target).with_key(&cluster.key("andes"));
+            let mut seen = std::collections::BTreeSet::new();
+            for _ in 0..6 {
+                let answer = caller.call(&request).await.unwrap();
+                seen.insert(answer.headers["x-target"].to_str().unwrap().to_owned());
+            }
+            assert_eq!(seen.len(), 1, "{target} went to {seen:?}");
+            homes.extend(seen);
+        }
+        assert!(homes.len() >= 3, "{homes:?}");
+        // One path that needs more than a target spreads, and nothing is refused.
+        let mut hot = stream(&cluster, "andes", "GET", 150.0);
+        hot.target = "/cached/hot".to_owned();
+        hot.work_us = 100_000;
+        let report = load::run(&[hot], &cluster.entries(), Duration::from_secs(3)).await;
+        let row = &report.streams[0];
+        assert_eq!(row.answered, row.sent, "{:?}", row.refused);
+        assert!(
+            records(&cluster)
+                .iter()
+                .all(|record| record.max_in_flight <= 9)
+        );
+    });
+}
