--- /dev/null
+++ b/examples/shared_limit.rs
@@ -0,0 +1,49 @@
+//! Two hosts share a limit of ten requests a second and twenty at once. All requests come in at
+//! one of them, which borrows the other's share.
+
+use fighall::quota::{
+    amount::{QuotaLimit, TOKEN},
+    book::{BaseGrant, BookOptions, QuotaBook},
+    loan::QuotaKey,
+};
+use std::time::Duration;
+
+fn main() {
+    let key = QuotaKey::Organisation("acme".to_owned());
+    let mut books = Vec::new();
+    for (member, host) in (0..).zip(["north", "south"]) {
+        let mut book = QuotaBook::new(BookOptions::default(), host, 1);
+        let grant = BaseGrant {
+            key: key.clone(),
+            limit: QuotaLimit::new(10, 20),
+            member,
+            members: 2,
+        };
+        book.set_bases(Duration::ZERO, 1, &[grant]);
+        book.activate(Duration::ZERO);
+        books.push(book);
+    }
+    let [mut north, mut south] = <[QuotaBook; 2]>::try_from(books).expect("two books");
+
+    // After four seconds both buckets are full: ten tokens each.
+    let now = Duration::from_secs(4);
+    let mut served = 0;
+    while north.spend(now, &key, TOKEN) {
+        served += 1;
+    }
+    println!("served from the own share: {served}");
+
+    // Ten more requests wait; what south holds is asked for and lent.
+    north.start_wait(now, &key, TOKEN * 10);
+    for ask in north.asks(now, &["south".to_owned()], |_, _| true) {
+        if let Some(answer) = south.handle(now, "north", &ask.message) {
+            north.handle(now, "south", &answer);
+        }
+    }
+    while north.spend(now, &key, TOKEN) {
+        served += 1;
+    }
+    println!("served with the borrowed share: {served}");
+    assert_eq!(served, 20);
+    assert!(!south.spend(now, &key, TOKEN));
+}
