Address loans' messages by a type of their own

Cause: ledgers returned pairs of host and message, and a reason of refusals was never given while another was given wrongly. Change: ledgers give OutgoingLoan; the deadline has its own refusal; the unused reason is gone. Conclusion: behaviour of loans is the same.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -35,8 +35,6 @@
         Duplicate,
         /// The request may have run; its outcome is unknown.
         OutcomeUnknown,
-        /// The host is leaving.
-        Stopping,
         /// The caller's request was ended by the caller.
         Cancelled,
     }
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -94,8 +94,7 @@
             RefusalReason::KeysStale
             | RefusalReason::NoRoom
             | RefusalReason::Deadline
-            | RefusalReason::ClaimUnavailable
-            | RefusalReason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            | RefusalReason::ClaimUnavailable => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
--- a/crates/entry/src/quotas.rs
+++ b/crates/entry/src/quotas.rs
@@ -21,8 +21,8 @@
 };
 use fighall_quota::{
     amount::TOKEN,
-    book::{BookOptions, OutgoingLoan, QuotaBook},
-    loan::{LoanMessage, QuotaKey},
+    book::{BookOptions, QuotaBook},
+    loan::{LoanMessage, OutgoingLoan, QuotaKey},
     rate::{RateOptions, ShareView},
     slots::{SlotTicket, SlotView},
 };
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -452,11 +452,15 @@
                 self.ring.record(context.subject(), kind);
                 Ok(())
             }
-            RetryDecision::EndNotRun => Err(RequestRefusal::not_run(
-                RefusalReason::NoTarget,
-                failure.cause,
-            )
-            .with_retry_after(Duration::from_secs(1))),
+            RetryDecision::EndNotRun => {
+                let reason = if context.left().is_zero() {
+                    RefusalReason::Deadline
+                } else {
+                    RefusalReason::NoTarget
+                };
+                let refusal = RequestRefusal::not_run(reason, failure.cause);
+                Err(refusal.with_retry_after(Duration::from_secs(1)))
+            }
             RetryDecision::EndUnknown => Err(RequestRefusal::unknown(failure.cause)),
         }
     }
--- a/crates/quota/src/book.rs
+++ b/crates/quota/src/book.rs
@@ -4,7 +4,7 @@
     amount::{MicroTokens, QuotaLimit, TOKEN, gain},
     base::BaseHolder,
     demand::DemandRate,
-    loan::{LoanAnswer, LoanAsk, LoanMessage, QuotaKey},
+    loan::{LoanAnswer, LoanAsk, LoanMessage, OutgoingLoan, QuotaKey},
     rate::{RateLedger, RateOptions, ShareView, reserve_for},
     slots::{SlotLedger, SlotTicket, SlotView, rotated_member},
 };
@@ -33,26 +33,6 @@
     }
 }
 
-value! {
-    /// `OutgoingLoan` is a message for one host.
-    pub struct OutgoingLoan {
-        /// Receiver.
-        pub peer: HostId,
-        /// Message.
-        pub message: LoanMessage,
-    }
-}
-
-impl OutgoingLoan {
-    /// Addresses a message.
-    pub fn new(peer: &str, message: LoanMessage) -> Self {
-        Self {
-            peer: peer.to_owned(),
-            message,
-        }
-    }
-}
-
 value! {
     /// `BaseGrant` is the base share of one quota, as the configuration gives it.
     pub struct BaseGrant {
@@ -333,20 +313,14 @@
             let (mut needed, tokens) = reserve_for(demand, entry.waiting);
             needed.rate = needed.rate * ASK_MORE_PERCENT / 100;
             needed.capacity = needed.capacity.max(gain(demand, CAPACITY_TIME));
-            for (peer, returned) in entry.ledger.give_back(now, key, needed, tokens) {
-                outgoing.push(OutgoingLoan::new(&peer, LoanMessage::Return(returned)));
-            }
-            for (peer, renewal) in entry.ledger.renewals(now, key) {
-                outgoing.push(OutgoingLoan::new(&peer, LoanMessage::Renew(renewal)));
-            }
+            outgoing.extend(entry.ledger.give_back(now, key, needed, tokens));
+            outgoing.extend(entry.ledger.renewals(now, key));
         }
         for (key, entry) in &mut self.slots {
             if entry.waiting > 0 || now.saturating_sub(entry.busy_at) < SLOT_IDLE {
                 continue;
             }
-            for (peer, returned) in entry.ledger.give_back(now, key, 0) {
-                outgoing.push(OutgoingLoan::new(&peer, LoanMessage::Return(returned)));
-            }
+            outgoing.extend(entry.ledger.give_back(now, key, 0));
         }
         outgoing
     }
@@ -355,14 +329,10 @@
     pub fn give_all_back(&mut self, now: BootTime) -> Vec<OutgoingLoan> {
         let mut outgoing = Vec::new();
         for (key, entry) in &mut self.rates {
-            for (peer, returned) in entry.ledger.give_back(now, key, QuotaLimit::default(), 0) {
-                outgoing.push(OutgoingLoan::new(&peer, LoanMessage::Return(returned)));
-            }
+            outgoing.extend(entry.ledger.give_back(now, key, QuotaLimit::default(), 0));
         }
         for (key, entry) in &mut self.slots {
-            for (peer, returned) in entry.ledger.give_back(now, key, 0) {
-                outgoing.push(OutgoingLoan::new(&peer, LoanMessage::Return(returned)));
-            }
+            outgoing.extend(entry.ledger.give_back(now, key, 0));
         }
         outgoing
     }
--- a/crates/quota/src/loan.rs
+++ b/crates/quota/src/loan.rs
@@ -3,7 +3,7 @@
 use crate::amount::{MicroTokens, QuotaLimit};
 use fighall_core::{
     ids::{HostId, Incarnation, OrgId, RegionId, TargetId},
-    message,
+    message, value,
 };
 use std::time::Duration;
 
@@ -144,6 +144,26 @@
     }
 }
 
+value! {
+    /// `OutgoingLoan` is a message for one host.
+    pub struct OutgoingLoan {
+        /// Receiver.
+        pub peer: HostId,
+        /// Message.
+        pub message: LoanMessage,
+    }
+}
+
+impl OutgoingLoan {
+    /// Addresses a message.
+    pub fn new(peer: &str, message: LoanMessage) -> Self {
+        Self {
+            peer: peer.to_owned(),
+            message,
+        }
+    }
+}
+
 /// Issues the ids of one incarnation of a host.
 #[derive(Debug, Clone)]
 pub struct IdSource {
--- a/crates/quota/src/rate.rs
+++ b/crates/quota/src/rate.rs
@@ -9,8 +9,8 @@
     base::BaseHolder,
     demand::DemandRate,
     loan::{
-        IdSource, LoanAnswer, LoanAsk, LoanExtension, LoanGrant, LoanId, LoanRenewal, LoanReturn,
-        QuotaKey,
+        IdSource, LoanAnswer, LoanAsk, LoanExtension, LoanGrant, LoanId, LoanMessage, LoanRenewal,
+        LoanReturn, OutgoingLoan, QuotaKey,
     },
 };
 use fighall_core::{
@@ -350,7 +350,7 @@
     }
 
     /// Creates the renewals of loans that are past half of their time, while they are needed.
-    pub fn renewals(&mut self, now: BootTime, key: &QuotaKey) -> Vec<(HostId, LoanRenewal)> {
+    pub fn renewals(&mut self, now: BootTime, key: &QuotaKey) -> Vec<OutgoingLoan> {
         self.settle(now);
         let half = self.options.term / 2;
         let pause = self.options.term / 8;
@@ -368,7 +368,8 @@
                 key: key.clone(),
                 number: loan.renewal,
             };
-            renewals.push((loan.lender.clone(), renewal));
+            let message = LoanMessage::Renew(renewal);
+            renewals.push(OutgoingLoan::new(&loan.lender, message));
         }
         renewals
     }
@@ -421,7 +422,7 @@
         key: &QuotaKey,
         needed: QuotaLimit,
         needed_tokens: MicroTokens,
-    ) -> Vec<(HostId, LoanReturn)> {
+    ) -> Vec<OutgoingLoan> {
         self.settle(now);
         let mut returns = Vec::new();
         let ids: Vec<LoanId> = self.borrowed.keys().cloned().collect();
@@ -441,7 +442,8 @@
             self.tokens -= tokens;
             self.clamp();
             let key = key.clone();
-            returns.push((lender, LoanReturn { id, key, tokens }));
+            let message = LoanMessage::Return(LoanReturn { id, key, tokens });
+            returns.push(OutgoingLoan::new(&lender, message));
         }
         returns
     }
--- a/crates/quota/src/slots.rs
+++ b/crates/quota/src/slots.rs
@@ -5,7 +5,10 @@
 
 use crate::{
     amount::{QuotaLimit, TOKEN},
-    loan::{IdSource, LoanAnswer, LoanAsk, LoanGrant, LoanId, LoanReturn, QuotaKey},
+    loan::{
+        IdSource, LoanAnswer, LoanAsk, LoanGrant, LoanId, LoanMessage, LoanReturn, OutgoingLoan,
+        QuotaKey,
+    },
     rate::RateOptions,
 };
 use fighall_core::{
@@ -279,12 +282,7 @@
     }
 
     /// Gives back borrowed slots that are not in use, keeping `needed` free slots.
-    pub fn give_back(
-        &mut self,
-        now: BootTime,
-        key: &QuotaKey,
-        needed: u32,
-    ) -> Vec<(HostId, LoanReturn)> {
+    pub fn give_back(&mut self, now: BootTime, key: &QuotaKey, needed: u32) -> Vec<OutgoingLoan> {
         let mut free = self.view(now).free();
         let mut returns = Vec::new();
         let ids: Vec<LoanId> = self.borrowed.keys().cloned().collect();
@@ -300,7 +298,8 @@
             let tokens = u64::from(loan.count) * TOKEN;
             self.borrowed.remove(&id);
             let key = key.clone();
-            returns.push((lender, LoanReturn { id, key, tokens }));
+            let message = LoanMessage::Return(LoanReturn { id, key, tokens });
+            returns.push(OutgoingLoan::new(&lender, message));
         }
         returns
     }
--- a/crates/quota/tests/support/mod.rs
+++ b/crates/quota/tests/support/mod.rs
@@ -11,8 +11,8 @@
 use fighall_core::ids::{BootTime, Generation, HostId};
 use fighall_quota::{
     amount::{QuotaLimit, TOKEN},
-    book::{BaseGrant, BookOptions, OutgoingLoan, QuotaBook},
-    loan::{LoanMessage, QuotaKey},
+    book::{BaseGrant, BookOptions, QuotaBook},
+    loan::{LoanMessage, OutgoingLoan, QuotaKey},
     rate::RateOptions,
 };
 use std::time::Duration;
