Never call a request not run after an attempt that may have run

Cause: found by reading the router again: each refusal told of the last attempt alone. A request that ran at one target, whose connection broke, and was then turned away by the next was refused as "not run". Ruled out: non-idempotent requests, which end at the first such attempt. Change: once an attempt may have run, every later refusal of the request says that the outcome is unknown; so do two attempts of which one may have run. Conclusion: "not run" is true over all attempts, not for the last one.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -43,6 +43,16 @@
     }
 }
 
+impl AttemptFailure {
+    /// Joins the failures of two attempts at one request: it did not run only if neither did.
+    pub fn join(self, other: Self) -> Self {
+        if self.result == AttemptResult::NotRun {
+            return other;
+        }
+        self
+    }
+}
+
 /// `ReuseFlag` tells, while an exchange runs, whether its connection carried one before.
 #[derive(Debug, Clone, Default)]
 pub struct ReuseFlag(Rc<Cell<bool>>);
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -45,6 +45,7 @@
     pub(crate) targets: Vec<TargetId>,
     pub(crate) hosts: Vec<HostId>,
     pub(crate) fresh: bool,
+    pub(crate) may_have_run: bool,
 }
 
 impl Place {
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -22,7 +22,7 @@
 use bytes::Bytes;
 use fighall_core::{
     clock::boot_time,
-    event::{EventKind, EventSubject, RefusalReason},
+    event::{EventKind, EventSubject, RefusalReason, RunState},
     ring::EventRing,
 };
 use fighall_kernel::{errors::Result, kernel::MicroKernel};
@@ -99,11 +99,27 @@
         context: &RequestContext,
     ) -> std::result::Result<Response<ProxyBody>, RequestRefusal> {
         self.note_request();
-        let mut token = self.reserve(context).await?;
         let mut attempts = Attempts::default();
+        let outcome = self.run_attempts(context, &mut attempts).await;
+        // What follows an attempt that may have run can no longer tell that nothing ran.
+        outcome.map_err(|refusal| match refusal.run {
+            RunState::No if attempts.may_have_run => {
+                let evidence = format!("{}; an earlier attempt may have run", refusal.evidence);
+                RequestRefusal::unknown(evidence)
+            }
+            _ => refusal,
+        })
+    }
+
+    async fn run_attempts(
+        &self,
+        context: &RequestContext,
+        attempts: &mut Attempts,
+    ) -> std::result::Result<Response<ProxyBody>, RequestRefusal> {
+        let mut token = self.reserve(context).await?;
         loop {
             let waited_from = boot_time();
-            let place = self.places.choose(context, &attempts).await?;
+            let place = self.places.choose(context, attempts).await?;
             if let Some(reservation) = token.take() {
                 let redeemed = self.quotas.redeem(reservation, context.deadline).await;
                 redeemed.map_err(|refusal| rate_refusal(&refusal))?;
@@ -111,7 +127,7 @@
             attempts.count += 1;
             self.record_place(context, &place, boot_time().saturating_sub(waited_from));
             let outcome = if context.idempotent && !attempts.fresh {
-                self.attempt_hedged(context, place, &mut attempts).await
+                self.attempt_hedged(context, place, attempts).await
             } else {
                 let fresh = attempts.fresh;
                 attempts.note(&place);
@@ -124,7 +140,7 @@
             };
             match outcome {
                 Ok(response) => return Ok(response),
-                Err(failure) => self.after_failure(context, &mut attempts, failure)?,
+                Err(failure) => self.after_failure(context, attempts, failure)?,
             }
         }
     }
@@ -184,7 +200,7 @@
         select_biased! {
             outcome = first => match outcome {
                 Ok(answered) => Ok(answered),
-                Err(_) => second.await,
+                Err(failure) => second.await.map_err(|other| failure.join(other)),
             },
             outcome = second => match outcome {
                 Ok(answered) => {
@@ -192,7 +208,7 @@
                     self.pool.flush_address(address);
                     Ok(answered)
                 }
-                Err(_) => first.await,
+                Err(failure) => first.await.map_err(|other| failure.join(other)),
             },
         }
     }
@@ -424,6 +440,7 @@
         attempts: &mut Attempts,
         failure: AttemptFailure,
     ) -> std::result::Result<(), RequestRefusal> {
+        attempts.may_have_run |= failure.result != AttemptResult::NotRun;
         // A body of which a part was passed on cannot be sent again; what has not run stays so.
         let in_time = !context.left().is_zero()
             && attempts.count < ATTEMPT_LIMIT
@@ -537,7 +554,7 @@
     let mut refusal = RequestRefusal::unknown("the caller's body ended early or exceeds the limit");
     refusal.reason = RefusalReason::BadRequest;
     if failure.result == AttemptResult::NotRun {
-        refusal.run = fighall_core::event::RunState::No;
+        refusal.run = RunState::No;
     }
     refusal
 }
--- a/crates/testkit/tests/path.rs
+++ b/crates/testkit/tests/path.rs
@@ -275,3 +275,30 @@
         );
     });
 }
+
+#[test]
+fn a_request_that_may_have_run_once_is_never_called_not_run_later() {
+    run(async {
+        let cluster = LocalCluster::start(small()).await.unwrap();
+        // Two targets run requests and close, two cannot be reached: attempts end in either way.
+        for (name, target) in &cluster.targets {
+            if name.ends_with("t0") || name.ends_with("t1") {
+                target.change(|behaviour| behaviour.early_close_percent = 100);
+            } else {
+                target.close();
+            }
+        }
+        let streams = [
+            stream(&cluster, "andes", "GET", 60.0),
+            stream(&cluster, "brisa", "POST", 60.0),
+        ];
+        let report = load::run(&streams, &cluster.entries(), Duration::from_secs(4)).await;
+        let mut refused = 0;
+        for row in &report.streams {
+            assert_eq!(row.answered, 0);
+            refused += row.refused.get("outcome_unknown").copied().unwrap_or(0);
+        }
+        assert!(refused > 50, "{refused}");
+        assert_eq!(report.counts(&records(&cluster)).untrue, 0);
+    });
+}
