Start a host's book anew when its member id changes

Cause: found by reading: a host that lost its id and took another in the same generation went on with the base shares of the old one, which its successor holds as well. Slots of requests from before would have been freed in the new book. Change: another member id starts an empty book under an incarnation of its own; tickets of an earlier ledger free nothing. Conclusion: conservation holds across hand-overs within one process.

--- a/crates/entry/src/quotas.rs
+++ b/crates/entry/src/quotas.rs
@@ -8,7 +8,7 @@
 use event_listener::Event;
 use fighall_config::assembly::FleetConfig;
 use fighall_core::{
-    clock::boot_time,
+    clock::{boot_time, wall_millis},
     event::{EventKind, EventSubject},
     ids::{BootTime, Generation, HostId, MemberId, OrgId, RegionId},
     ring::EventRing,
@@ -467,7 +467,6 @@
         let member = self.members.member();
         let config = self.config.config();
         if member != self.book_member.get() {
-            self.book.borrow_mut().deactivate(now);
             self.reset_book(config.as_deref());
             self.book_member.set(member);
         }
@@ -483,8 +482,8 @@
         }
     }
 
-    // Another member id has other base shares: the book starts anew, with the loans it gave left
-    // to end by time.
+    // Another member id has other base shares, and what the old one lent or held belongs to its
+    // successor: the book starts anew. A new incarnation keeps its loans apart from the old ones.
     fn reset_book(&self, config: Option<&FleetConfig>) {
         let mut options = BookOptions::default();
         if let Some(config) = config {
@@ -492,11 +491,8 @@
             options.slots =
                 RateOptions::with_term(Duration::from_millis(config.fleet.slot_loan_ms));
         }
-        let identity = &self.identity;
-        let mut book = self.book.borrow_mut();
-        if book.keys().is_empty() {
-            *book = QuotaBook::new(options, &identity.host, identity.incarnation);
-        }
+        let incarnation = wall_millis().max(self.identity.incarnation + 1);
+        *self.book.borrow_mut() = QuotaBook::new(options, &self.identity.host, incarnation);
         self.book_generation.set(0);
     }
 
--- a/crates/quota/src/slots.rs
+++ b/crates/quota/src/slots.rs
@@ -21,6 +21,8 @@
     /// `SlotTicket` is a slot in use. It must be handed back to the ledger that gave it.
     #[derive(Eq)]
     pub struct SlotTicket {
+        // Incarnation of the ledger that gave it.
+        issuer: Incarnation,
         loan: Option<LoanId>,
     }
 }
@@ -76,6 +78,7 @@
 #[derive(Debug, Clone)]
 pub struct SlotLedger {
     options: RateOptions,
+    issuer: Incarnation,
     ids: IdSource,
     base: Option<SlotBase>,
     active: bool,
@@ -91,6 +94,7 @@
     pub fn new(options: RateOptions, host: &str, incarnation: Incarnation) -> Self {
         Self {
             options,
+            issuer: incarnation,
             ids: IdSource::new(host, incarnation),
             base: None,
             active: false,
@@ -174,20 +178,29 @@
         self.settle(now);
         if self.own_used < self.own_held() {
             self.own_used += 1;
-            return Some(SlotTicket { loan: None });
+            return Some(SlotTicket {
+                issuer: self.issuer,
+                loan: None,
+            });
         }
         for (id, loan) in &mut self.borrowed {
             if loan.used < loan.count && loan.expires_at >= deadline {
                 loan.used += 1;
-                let loan = Some(id.clone());
-                return Some(SlotTicket { loan });
+                return Some(SlotTicket {
+                    issuer: self.issuer,
+                    loan: Some(id.clone()),
+                });
             }
         }
         None
     }
 
-    /// Gives a slot free.
+    /// Gives a slot free. A ticket of an earlier ledger, before the member id changed, frees
+    /// nothing here.
     pub fn release(&mut self, ticket: SlotTicket) {
+        if ticket.issuer != self.issuer {
+            return;
+        }
         let Some(id) = ticket.loan else {
             self.own_used = self.own_used.saturating_sub(1);
             return;
@@ -401,6 +414,18 @@
         assert!(lender.occupy(SECOND * 12, SECOND * 13).is_some());
     }
 
+    #[test]
+    fn a_ticket_of_an_earlier_ledger_frees_nothing() {
+        let mut old = ledger("a", 2, 0, 2);
+        let ticket = old.occupy(SECOND, SECOND * 2).unwrap();
+        let mut new = SlotLedger::new(RateOptions::with_term(SECOND * 10), "a", 2);
+        new.set_base(Duration::ZERO, 1, 2, 1, 2);
+        new.activate();
+        assert!(new.occupy(SECOND, SECOND * 2).is_some());
+        new.release(ticket);
+        assert!(new.occupy(SECOND, SECOND * 2).is_none());
+    }
+
     #[test]
     fn a_member_that_was_moved_gets_no_slot() {
         let mut ledger = ledger("a", 9, 0, 3);
--- a/crates/testkit/tests/recovery.rs
+++ b/crates/testkit/tests/recovery.rs
@@ -202,6 +202,52 @@
     });
 }
 
+#[test]
+fn a_host_that_changes_its_member_id_holds_the_shares_of_the_new_one() {
+    run(async {
+        let plan = ClusterPlan {
+            slots: 10,
+            ..small()
+        };
+        let mut cluster = LocalCluster::start(plan).await.unwrap();
+        let node = Rc::clone(&cluster.nodes["lima-1"]);
+        let members = node.kernel().find::<MemberService>(names::MEMBERS).unwrap();
+        let quotas = node.kernel().find::<QuotaService>(names::QUOTAS).unwrap();
+        let old = members.member().unwrap();
+        let name = fighall_membership::lease::object_name(old);
+        let mut lease = members
+            .leases()
+            .into_iter()
+            .find(|lease| lease.host == "lima-1")
+            .unwrap();
+        lease.host = "intruder".to_owned();
+        lease.incarnation += 1;
+        cluster.platform.put("members", &name, &to_json(&lease));
+        compio::time::sleep(SECOND / 2).await;
+        assert_eq!(members.member(), None);
+        // Another host leaves, and its id is free.
+        cluster.stop_host("lima-0").await;
+        let until = boot_time() + SECOND * 15;
+        while members.active_member(boot_time()).is_none() {
+            assert!(boot_time() < until, "no other id was taken");
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+        compio::time::sleep(SECOND / 2).await;
+        let new = members.member().unwrap();
+        assert_ne!(new, old);
+        let mut differs = false;
+        for target in cluster.targets.keys() {
+            let share = |member| {
+                let member = fighall_quota::slots::rotated_member(target, member, 3);
+                3 + u32::from(member < 1)
+            };
+            assert_eq!(quotas.slots(target).held, share(new), "{target}");
+            differs |= share(new) != share(old);
+        }
+        assert!(differs, "the test tells the ids apart");
+    });
+}
+
 #[test]
 fn two_spare_hosts_that_want_one_id_do_not_both_get_it() {
     run(async {
