--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -23,6 +23,10 @@
         pub organisation: String,
         /// Key; empty sends none.
         pub key: String,
+        /// Further keys, taken in turn with the first one.
+        pub more_keys: Vec<String>,
+        /// Time for which one key is used before the next, in milliseconds; 0 keeps the first.
+        pub key_turn_ms: u64,
         /// Service, for look-ups.
         pub service: String,
         /// Host name.
@@ -56,6 +60,8 @@
             name: String::new(),
             organisation: String::new(),
             key: String::new(),
+            more_keys: Vec::new(),
+            key_turn_ms: 0,
             service: String::new(),
             host: String::new(),
             method: "GET".to_owned(),
@@ -73,10 +79,22 @@
 }
 
 impl LoadStream {
-    fn request(&self, mark: &str) -> CallRequest {
+    // Gets the key of the turn that a time since the start falls into.
+    fn key_at(&self, since: Duration) -> &str {
+        let since = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+        let turn = since.checked_div(self.key_turn_ms).unwrap_or(0);
+        let keys = u64::try_from(self.more_keys.len()).unwrap_or(0) + 1;
+        match usize::try_from(turn % keys) {
+            Ok(index) if index > 0 => &self.more_keys[index - 1],
+            _ => &self.key,
+        }
+    }
+
+    fn request(&self, mark: &str, since: Duration) -> CallRequest {
         let mut request = CallRequest::new(&self.method, &self.host, &self.target);
-        if !self.key.is_empty() {
-            request = request.with_key(&self.key);
+        let key = self.key_at(since);
+        if !key.is_empty() {
+            request = request.with_key(key);
         }
         if self.marked {
             request = request.with_header(crate::target::MARK_HEADER, mark);
@@ -104,6 +122,7 @@
     caller: FleetCaller,
     report: RefCell<StreamReport>,
     open: Cell<u64>,
+    started_at: BootTime,
 }
 
 /// Sends streams for a time and waits for the last answers.
@@ -117,6 +136,7 @@
             stream: stream.clone(),
             caller,
             open: Cell::new(0),
+            started_at: boot_time(),
         });
         let task = compio::runtime::spawn(send_stream(Rc::clone(&run), until));
         runs.push((run, task));
@@ -154,7 +174,8 @@
 
 async fn send_one(run: Rc<StreamRun>, number: u64, due: BootTime) {
     let mark = format!("{}-{number}", run.stream.name);
-    let request = run.stream.request(&mark);
+    let since = due.saturating_sub(run.started_at);
+    let request = run.stream.request(&mark, since);
     let outcome = if run.stream.entry.is_empty() {
         run.caller.call(&request).await
     } else {
@@ -197,3 +218,25 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn keys_take_turns() {
+        let stream = LoadStream {
+            key: "a".to_owned(),
+            more_keys: vec!["b".to_owned(), "c".to_owned()],
+            key_turn_ms: 100,
+            ..LoadStream::default()
+        };
+        let keys = [0, 150, 250, 350].map(|millis| stream.key_at(Duration::from_millis(millis)));
+        assert_eq!(keys, ["a", "b", "c", "a"]);
+        let steady = LoadStream {
+            key_turn_ms: 0,
+            ..stream
+        };
+        assert_eq!(steady.key_at(Duration::from_secs(9)), "a");
+    }
+}
