Let silent attempts give their slots up

Change: a place for the second attempt is looked for again every 30 ms; an attempt on a connection that was idle before, with half of its time gone and no place for a second one, is given up and sent again; the budget starts with 50 and saves 150.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -33,6 +33,14 @@
         }
     }
 
+    /// Creates the failure of a request whose connection went silent; it may have run.
+    pub fn silent(cause: impl ToString) -> Self {
+        Self {
+            silent: true,
+            ..Self::may_have_run(cause)
+        }
+    }
+
     /// Creates the failure of a request that may have run.
     pub fn may_have_run(cause: impl ToString) -> Self {
         Self {
@@ -158,11 +166,8 @@
         Err(_) => {
             guard.connection = None;
             pool.flush(address);
-            Err(AttemptFailure {
-                result: AttemptResult::MayHaveRun,
-                cause: format!("no answer within {} ms", millis(left)),
-                silent: true,
-            })
+            let cause = format!("no answer within {} ms", millis(left));
+            Err(AttemptFailure::silent(cause))
         }
     }
 }
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -42,6 +42,8 @@
 const REUSE_IDLE: Duration = Duration::from_secs(15);
 /// Shortest time without an answer after which a connection is suspected to be silent.
 const SILENT_MIN: Duration = Duration::from_millis(100);
+/// Pause before a place for a second attempt is looked for again.
+const SECOND_PAUSE: Duration = Duration::from_millis(30);
 /// Attempts at one request.
 const ATTEMPT_LIMIT: usize = 6;
 /// Bytes that a head takes on a link, beside its body.
@@ -177,16 +179,33 @@
         let reused = ReuseFlag::default();
         let first = self.attempt(context, place, false, &reused).fuse();
         pin_mut!(first);
-        {
-            let patience = compio::time::sleep(self.patience(context)).fuse();
-            pin_mut!(patience);
-            select_biased! {
-                outcome = first => return outcome,
-                () = patience => {}
+        let mut pause = self.patience(context);
+        let abandon_at = boot_time() + context.left() / 2;
+        let place = loop {
+            {
+                let elapsed = compio::time::sleep(pause).fuse();
+                pin_mut!(elapsed);
+                select_biased! {
+                    outcome = first => return outcome,
+                    () = elapsed => {}
+                }
             }
-        }
-        let Some(place) = self.second_place(context, attempts, &reused) else {
-            return first.await;
+            if !reused.get() || !context.body.is_available() {
+                return first.await;
+            }
+            if let Some(place) = self.places.choose_now(context, attempts) {
+                if !self.budget.borrow_mut().take() {
+                    return first.await;
+                }
+                break place;
+            }
+            // Silent attempts hold the slots that their second ones wait for: this one lets go.
+            if boot_time() >= abandon_at {
+                return Err(AttemptFailure::silent(
+                    "no answer, and no slot for a second attempt",
+                ));
+            }
+            pause = SECOND_PAUSE;
         };
         let kind = EventKind::Retried {
             cause: "no answer yet; a second attempt goes out on a new connection".to_owned(),
@@ -213,19 +232,6 @@
         }
     }
 
-    fn second_place(
-        &self,
-        context: &RequestContext,
-        attempts: &Attempts,
-        reused: &ReuseFlag,
-    ) -> Option<Place> {
-        let allowed = reused.get() && context.body.is_available();
-        if !allowed || !self.budget.borrow_mut().take() {
-            return None;
-        }
-        self.places.choose_now(context, attempts)
-    }
-
     // An answer is late when it takes many times what is usual for the service.
     fn patience(&self, context: &RequestContext) -> Duration {
         let left = context.left();
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -27,9 +27,9 @@
 }
 
 /// Most retries that the budget saves up.
-const BUDGET_LIMIT: f64 = 50.0;
+const BUDGET_LIMIT: f64 = 150.0;
 /// Retries that are free at the start.
-const BUDGET_START: f64 = 10.0;
+const BUDGET_START: f64 = 50.0;
 
 /// `RetryBudget` allows retries as a share of recent requests, so that retries cannot multiply
 /// load during an outage.
