Give tools longer patience with the store, and check advertised addresses

Settings for all addresses without one to advertise passed the check. Ruled out: the publication itself, which reports its unsettled outcome. Conclusion: a lost answer is settled while somebody waits for it.

--- a/crates/bench/src/blocks.rs
+++ b/crates/bench/src/blocks.rs
@@ -11,7 +11,7 @@
     time::Instant,
 };
 
-/// Sizes measured; the last one is the letter's.
+/// Sizes measured; docs/CAPACITY.md designs for the last one.
 const SIZES: [u32; 4] = [10_000, 100_000, 500_000, 1_900_000];
 /// Sites that the blocks lead to.
 const SITES: u32 = 760;
--- a/crates/bench/src/decision.rs
+++ b/crates/bench/src/decision.rs
@@ -17,7 +17,7 @@
     time::{Duration, Instant},
 };
 
-/// Organisations and targets of a service measured; the first row is the brief's.
+/// Organisations and targets of a service measured; the first row is the users' size today.
 const SIZES: [(u32, u32); 4] = [(8, 16), (8, 100), (100, 16), (1_000, 100)];
 /// Decisions timed.
 const DECISIONS: u32 = 300_000;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -47,7 +47,7 @@
         )
         .subcommand(
             Command::new("policy")
-                .about("The brief's measures at both users' sizes, beside baseline policies")
+                .about("The users' measures at both their sizes, beside baseline policies")
                 .arg(seconds("10")),
         )
 }
--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -1,4 +1,4 @@
-//! The brief's measures at both users' sizes, with the baseline beside it in the same run: rates
+//! The users' measures at both their sizes, with the baseline beside it in the same run: rates
 //! split statically and targets drawn at random. Delays between regions are not part of it.
 
 use fighall_config::commands::{DrainScope, OperatorCommand};
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -9,7 +9,10 @@
     secret::SecretText,
     value,
 };
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 /// Environment variable that holds the fleet's secret when no file does.
 pub const SECRET_VARIABLE: &str = "FIGHALL_FLEET_SECRET";
@@ -129,7 +132,7 @@
         /// Address for operators.
         pub operators: SocketAddr,
         /// IP address to advertise.
-        pub advertise: Option<std::net::IpAddr>,
+        pub advertise: Option<IpAddr>,
         /// Addresses of the store.
         pub store: Vec<String>,
         /// Addresses of other hosts' links.
@@ -211,10 +214,10 @@
     fn read(reader: &ObjectReader<'_, '_>) -> Option<Self> {
         // Every field is read before the first absent one ends the reading, so that all findings
         // come in one run.
-        let callers = reader.parsed("callers");
-        let peers = reader.parsed("peers");
-        let forwards = reader.parsed("forwards");
-        let operators = reader.parsed("operators");
+        let callers: Option<SocketAddr> = reader.parsed("callers");
+        let peers: Option<SocketAddr> = reader.parsed("peers");
+        let forwards: Option<SocketAddr> = reader.parsed("forwards");
+        let operators: Option<SocketAddr> = reader.parsed("operators");
         let host = reader.name("host");
         let region = reader.name("region");
         let zone = reader.name("zone");
@@ -241,6 +244,15 @@
         let caller_timeout = millis("caller_timeout_ms");
         let stop_limit = millis("stop_ms");
         let store_calls = u32::try_from(reader.integer("store_calls")).unwrap_or(1);
+        let bound = [
+            ("callers", callers),
+            ("peers", peers),
+            ("forwards", forwards),
+            ("operators", operators),
+        ];
+        for (field, address) in bound {
+            report_unspecified(reader, field, address, advertise);
+        }
         if silence <= heartbeat {
             reader.report("silence_ms", "`silence_ms` must be above `heartbeat_ms`");
         }
@@ -270,6 +282,22 @@
     }
 }
 
+// Others cannot reach a host at an address that stands for all of its own.
+fn report_unspecified(
+    reader: &ObjectReader<'_, '_>,
+    field: &str,
+    address: Option<SocketAddr>,
+    advertise: Option<IpAddr>,
+) {
+    let unspecified = address.is_some_and(|address| address.ip().is_unspecified());
+    if unspecified && advertise.is_none() {
+        reader.report(
+            field,
+            format!("`{field}` is for all addresses; give `advertise` as well"),
+        );
+    }
+}
+
 fn read_addresses(reader: &ObjectReader<'_, '_>, field: &str) -> Vec<String> {
     let addresses = reader.texts(field);
     for address in &addresses {
--- a/crates/entry/tests/process.rs
+++ b/crates/entry/tests/process.rs
@@ -137,6 +137,19 @@
     ] {
         assert!(text.contains(place), "{text}");
     }
+    let everywhere =
+        settings("127.0.0.1:1").replace("\"callers\": \"127.0.0.1", "\"callers\": \"0.0.0.0");
+    let everywhere = settings_file("everywhere", &everywhere);
+    let output = Command::new(BINARY)
+        .arg("--check")
+        .arg(&everywhere)
+        .env("FIGHALL_FLEET_SECRET", "a")
+        .env("FIGHALL_OPERATOR_TOKEN", "b")
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(text.contains("`advertise`"), "{text}");
     let good = settings_file("good", &settings("127.0.0.1:1"));
     let output = Command::new(BINARY)
         .arg("--check")
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -59,6 +59,17 @@
     }
 }
 
+impl ClientOptions {
+    /// Creates the options of a tool whose user waits for a settled outcome.
+    pub fn with_long_patience(address: String) -> Self {
+        Self {
+            patience: Duration::from_secs(12),
+            backoff_limit: Duration::from_millis(250),
+            ..Self::with_address(address)
+        }
+    }
+}
+
 value! {
     /// `WriteOutcome` is the settled outcome of a conditional write.
     pub enum WriteOutcome {
