--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -40,16 +40,10 @@
 /// `BodyProgress` tells how far a caller's body was read, also after it was handed away.
 #[derive(Debug, Default)]
 pub struct BodyProgress {
-    started: Cell<bool>,
     failed: Cell<bool>,
 }
 
 impl BodyProgress {
-    /// Tells whether any of the body was taken.
-    pub fn has_started(&self) -> bool {
-        self.started.get()
-    }
-
     /// Tells whether the caller's side failed while it sent the body.
     pub fn has_failed(&self) -> bool {
         self.failed.get()
@@ -103,7 +97,6 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        self.progress.started.set(true);
         match Pin::new(&mut self.body).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
                 self.timer = None;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -194,6 +194,10 @@
                 let Some(member) = member_of(&change.name) else {
                     continue;
                 };
+                let known = table.get(member).map(|(_, version)| version);
+                if known.is_some_and(|known| known >= change.version) {
+                    continue;
+                }
                 let lease = change.value.as_deref();
                 let lease: Option<MemberLease> =
                     lease.and_then(|text| serde_json::from_str(text).ok());
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -24,6 +24,11 @@
 /// Age of a peer's last sign beyond which nothing is forwarded to it.
 const ALIVE: Duration = Duration::from_secs(2);
 
+/// Bytes that must find room on a link before a request is forwarded.
+const LINK_NEED: usize = 1_024;
+/// Longest wait for that room, just under fifty milliseconds.
+const LINK_WAIT: Duration = Duration::from_nanos(49_999_999);
+
 /// `Place` is where a request goes next.
 #[derive(Debug)]
 pub(crate) enum Place {
@@ -215,7 +220,7 @@
             age: None,
             round_trip: Duration::MAX,
             reachable: false,
-            link_room: self.quotas.has_link_room(region),
+            link_room: self.quotas.pace(region).has_room(LINK_NEED, LINK_WAIT),
         };
         self.targets.mesh().with_views(|peers| {
             for peer in peers {
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -203,12 +203,6 @@
         addresses.retain(|_, pool| pool.open.get() > 0);
     }
 
-    /// Gets the number of open connections to an address.
-    pub fn open_count(&self, address: SocketAddr) -> u32 {
-        let addresses = self.addresses.borrow();
-        addresses.get(&address).map_or(0, |pool| pool.open.get())
-    }
-
     // The connection used last is the least likely to have gone silent.
     fn take_idle(&self, address: SocketAddr, within: Duration) -> Option<IdleConnection> {
         let now = boot_time();
--- a/crates/entry/src/quotas.rs
+++ b/crates/entry/src/quotas.rs
@@ -269,17 +269,6 @@
         LinkPace::new(self, &self.identity.region, to)
     }
 
-    /// Tells whether the share of the link to another region has room now.
-    pub fn has_link_room(&self, to: &str) -> bool {
-        let key = QuotaKey::Link {
-            from: self.identity.region.clone(),
-            to: to.to_owned(),
-        };
-        let now = boot_time();
-        let wait = self.book.borrow_mut().wait_for(now, &key, TOKEN);
-        wait.is_some_and(|wait| wait < Duration::from_millis(50))
-    }
-
     /// Takes a slot of a target for a request that ends by `deadline`.
     pub fn occupy(&self, target: &str, deadline: BootTime) -> Option<SlotTicket> {
         let now = boot_time();
--- a/crates/quota/src/rate.rs
+++ b/crates/quota/src/rate.rs
@@ -56,7 +56,6 @@
 
 #[derive(Debug, Clone)]
 struct LentLoan {
-    borrower: HostId,
     portion: QuotaLimit,
     source: LentSource,
     reclaim_at: BootTime,
@@ -303,7 +302,7 @@
             if wanted.is_zero() {
                 break;
             }
-            let Some(grant) = self.lend_from(now, &source, &ask.id.host, wanted, tokens) else {
+            let Some(grant) = self.lend_from(now, &source, wanted, tokens) else {
                 continue;
             };
             wanted = wanted.minus(grant.portion);
@@ -469,18 +468,6 @@
         ends.max().unwrap_or(now).saturating_sub(now)
     }
 
-    /// Gets the hosts that hold loans of this one.
-    pub fn borrowers(&self) -> Vec<HostId> {
-        let mut hosts: Vec<_> = self
-            .lent
-            .values()
-            .map(|loan| loan.borrower.clone())
-            .collect();
-        hosts.sort();
-        hosts.dedup();
-        hosts
-    }
-
     fn held(&self) -> QuotaLimit {
         self.own_held().plus(self.borrowed_sum)
     }
@@ -546,7 +533,6 @@
         &mut self,
         now: BootTime,
         source: &LentSource,
-        borrower: &str,
         wanted: QuotaLimit,
         tokens: MicroTokens,
     ) -> Option<LoanGrant> {
@@ -573,7 +559,6 @@
         self.clamp();
         let id = self.ids.issue();
         let loan = LentLoan {
-            borrower: borrower.to_owned(),
             portion,
             source: source.clone(),
             reclaim_at: now + term + self.options.margin,
--- a/crates/route/src/region.rs
+++ b/crates/route/src/region.rs
@@ -2,10 +2,7 @@
 //! traffic is in force.
 
 use fighall_config::commands::OperatorCommand;
-use fighall_core::{
-    ids::{BootTime, RegionId},
-    rendezvous, value,
-};
+use fighall_core::{ids::RegionId, rendezvous, value};
 use std::time::Duration;
 
 value! {
@@ -82,11 +79,6 @@
     None
 }
 
-/// Gets how a boot time lies before another, as an age.
-pub fn age(now: BootTime, at: Option<BootTime>) -> Option<Duration> {
-    Some(now.saturating_sub(at?))
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
