Serve keyed routes over the end of an outage of the store

Ruled out: load of the machine alone (the refusals come in runs of 50 ms at the time of the return) and the replaced host.

The check of keys is a service of its own, which also looks without requests. fighall-scenario runs single scripts, and a failed expectation now tells what became of the streams.

--- a/crates/entry/src/names.rs
+++ b/crates/entry/src/names.rs
@@ -12,6 +12,8 @@
 pub const MIRRORS: &str = "mirrors";
 /// The configuration in force.
 pub const CONFIGURATION: &str = "configuration";
+/// The check of keys.
+pub const AUTHORITY: &str = "authority";
 /// The member id and its lease.
 pub const MEMBERS: &str = "members";
 /// The shares of quotas.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,6 +1,7 @@
 //! The daemon as a whole: start, the inbox of peers' messages, and the staged stop.
 
 use crate::{
+    authority::KeyAuthority,
     claims::ClaimService,
     configuration::ConfigService,
     errors::{Error, Result},
@@ -98,6 +99,9 @@
         kernel.register(names::MIRRORS, Rc::clone(&mirrors))?;
         let config = Rc::new(ConfigService::new(&kernel)?);
         kernel.register(names::CONFIGURATION, Rc::clone(&config))?;
+        let authority = Rc::new(KeyAuthority::new(&kernel)?);
+        kernel.register(names::AUTHORITY, Rc::clone(&authority))?;
+        kernel.spawn_service(authority.keep());
         let members = Rc::new(MemberService::new(&kernel, settings.seeds.clone())?);
         kernel.register(names::MEMBERS, Rc::clone(&members))?;
         let quotas = Rc::new(QuotaService::new(&kernel)?);
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -55,7 +55,7 @@
     quotas: Rc<QuotaService>,
     targets: Rc<TargetService>,
     metrics: Rc<EntryMetrics>,
-    authority: KeyAuthority,
+    authority: Rc<KeyAuthority>,
 }
 
 impl OperatorService {
@@ -77,7 +77,7 @@
             quotas: kernel.find(names::QUOTAS)?,
             targets: kernel.find(names::TARGETS)?,
             metrics: kernel.find(names::METRICS)?,
-            authority: KeyAuthority::new(kernel)?,
+            authority: kernel.find(names::AUTHORITY)?,
         })
     }
 
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -80,6 +80,9 @@
         let position = error.position();
         findings.extend(one_finding(file, position, error.to_string()));
     }
+    if !findings.is_empty() {
+        findings.extend(stage.explanations());
+    }
     findings.into_result(Some(()))
 }
 
@@ -297,6 +300,22 @@
         Ok(act(cluster))
     }
 
+    // Tells what became of each stream that was not answered whole, beside a failed expectation.
+    fn explanations(&self) -> FindingList {
+        let mut findings = FindingList::new();
+        for row in &self.state.borrow().report.streams {
+            if row.answered == row.sent {
+                continue;
+            }
+            let message = format!(
+                "{}: {} of {} answered, refused {:?}",
+                row.name, row.answered, row.sent, row.refused
+            );
+            findings.extend(one_finding(&self.file, Position::NONE, message));
+        }
+        findings
+    }
+
     fn finish(&self) -> ScriptResult<Map> {
         let loads = std::mem::take(&mut self.state.borrow_mut().loads);
         let mut all = Map::new();
--- a/crates/testkit/tests/faults.rs
+++ b/crates/testkit/tests/faults.rs
@@ -148,6 +148,39 @@
     run(load_with(faults, 10));
 }
 
+#[test]
+fn a_store_that_comes_back_refuses_no_keyed_request() {
+    run(async {
+        let plan = with_rates(pair(), &[("andes", 1_000, 500)]);
+        let cluster = LocalCluster::start(plan).await.unwrap();
+        let mut streams = Vec::new();
+        for entry in cluster.entries() {
+            let mut row = stream(&cluster, "andes", "GET", 40.0);
+            row.name = format!("at-{entry}");
+            row.entry = entry;
+            streams.push(row);
+        }
+        let entries = cluster.entries();
+        let load = load::run(&streams, &entries, SECOND * 17);
+        let script = async {
+            // Each outage is longer than the key table counts as fresh.
+            for _ in 0..2 {
+                compio::time::sleep(SECOND * 2).await;
+                cluster.platform.set_faults(StoreFaults {
+                    down: true,
+                    ..StoreFaults::default()
+                });
+                compio::time::sleep(SECOND * 5).await;
+                cluster.platform.set_faults(StoreFaults::default());
+            }
+        };
+        let (report, ()) = futures_util::join!(load, script);
+        for row in &report.streams {
+            assert_eq!(row.answered, row.sent, "{}: {:?}", row.name, row.refused);
+        }
+    });
+}
+
 #[test]
 fn one_idempotency_key_runs_once_over_the_fleet_while_answers_of_the_store_are_lost() {
     run(async {
