--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -237,16 +237,23 @@
         self.regions.iter().map(|region| region.members).sum()
     }
 
-    /// Gets the member ids of a region. They are numbered through in the order of the regions.
-    pub fn members_of(&self, region: &str) -> std::ops::Range<MemberId> {
+    /// Gets the number of member ids of a region.
+    pub fn members_in(&self, region: &str) -> u32 {
+        let found = self.regions.iter().find(|known| known.name == region);
+        found.map_or(0, |region| region.members)
+    }
+
+    /// Gets the position of a region's member among those of the whole fleet, in the order of the
+    /// regions. An index beyond the region's members has none.
+    pub fn fleet_member(&self, region: &str, member: MemberId) -> Option<MemberId> {
         let mut first = 0;
         for candidate in &self.regions {
             if candidate.name == region {
-                return first..first + candidate.members;
+                return (member < candidate.members).then_some(first + member);
             }
             first += candidate.members;
         }
-        first..first
+        None
     }
 
     /// Finds an organisation's limit.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -14,7 +14,7 @@
 pub type ZoneId = String;
 /// Name of a host (machine).
 pub type HostId = String;
-/// Index of a slot in the membership table.
+/// Index of a member among those of its region.
 pub type MemberId = u32;
 /// Number of an accepted configuration, increasing by one with each publication.
 pub type Generation = u64;
--- a/crates/entry/src/bases.rs
+++ b/crates/entry/src/bases.rs
@@ -11,15 +11,16 @@
 /// Lists the base shares that a configuration gives a member of a region.
 pub fn base_grants(config: &FleetConfig, region: &str, member: MemberId) -> Vec<BaseGrant> {
     let fleet = &config.fleet;
-    let within = fleet.members_of(region);
-    let near = member.saturating_sub(within.start);
-    let near_members = within.end.saturating_sub(within.start);
+    let near_members = fleet.members_in(region);
+    // A position beyond all members holds nothing.
+    let fleet_member = fleet.fleet_member(region, member);
+    let fleet_member = fleet_member.unwrap_or(MemberId::MAX);
     let mut grants = Vec::new();
     for organisation in &fleet.organisations {
         grants.push(BaseGrant {
             key: QuotaKey::Organisation(organisation.name.clone()),
             limit: QuotaLimit::new(organisation.rate, organisation.burst),
-            member,
+            member: fleet_member,
             members: fleet.members(),
         });
     }
@@ -33,7 +34,7 @@
                 to: link.to.clone(),
             },
             limit: QuotaLimit::new(link.mbit * LINK_TOKENS_PER_MBIT, link.burst_kib),
-            member: near,
+            member,
             members: near_members,
         });
     }
@@ -45,7 +46,7 @@
             grants.push(BaseGrant {
                 key: QuotaKey::Slots(target.name.clone()),
                 limit: QuotaLimit::new(0, u64::from(target.slots)),
-                member: near,
+                member,
                 members: near_members,
             });
         }
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -10,8 +10,9 @@
     pointer::{ConfigPointer, POINTER_NAME},
 };
 use fighall_core::{
+    clock::boot_time,
     event::{EventKind, EventSubject},
-    ids::Generation,
+    ids::{BootTime, Generation},
     ring::EventRing,
     secret::content_digest,
 };
@@ -19,7 +20,12 @@
 use fighall_peer::{mesh::PeerMesh, message::PeerMessage, view::LinkState};
 use fighall_platform::{client::StoreClient, object::kinds};
 use fighall_route::{blocks::BlockTable, matcher::RouteMatcher};
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
 
 /// Time that peers are given to bring documents before the store is asked.
 const PEER_WAIT: Duration = Duration::from_millis(250);
@@ -37,6 +43,7 @@
     mirrors: Rc<MirrorService>,
     metrics: Rc<EntryMetrics>,
     assembly: RefCell<ConfigAssembly>,
+    in_force_at: Cell<BootTime>,
     fetched: RefCell<BTreeMap<String, String>>,
     matcher: RefCell<Rc<RouteMatcher>>,
     blocks: RefCell<Rc<BlockTable>>,
@@ -60,6 +67,7 @@
             mirrors: kernel.find(names::MIRRORS)?,
             metrics: kernel.find(names::METRICS)?,
             assembly: RefCell::new(ConfigAssembly::new()),
+            in_force_at: Cell::new(Duration::ZERO),
             fetched: RefCell::new(BTreeMap::new()),
             matcher: RefCell::new(Rc::new(RouteMatcher::default())),
             blocks: RefCell::new(Rc::new(BlockTable::default())),
@@ -96,6 +104,16 @@
         self.assembly.borrow().pointer().generation
     }
 
+    /// Gets the time since which the generation in force is so here.
+    pub fn in_force_at(&self) -> BootTime {
+        self.in_force_at.get()
+    }
+
+    /// Tells whether no later generation is known here.
+    pub fn is_latest(&self) -> bool {
+        self.newer_pointer().is_none()
+    }
+
     /// Gets the matcher of the configuration in force.
     pub fn matcher(&self) -> Rc<RouteMatcher> {
         Rc::clone(&self.matcher.borrow())
@@ -242,6 +260,7 @@
         *self.matcher.borrow_mut() = Rc::new(RouteMatcher::new(config));
         *self.blocks.borrow_mut() = Rc::new(BlockTable::new(&config.blocks));
         let generation = config.generation;
+        self.in_force_at.set(boot_time());
         let shown = i64::try_from(generation).unwrap_or(i64::MAX);
         self.metrics.generation.set(shown);
         let kind = EventKind::ConfigApplied { generation };
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -6,12 +6,12 @@
 use fighall_core::{
     clock::boot_time,
     event::{EventKind, EventSubject},
-    ids::{BootTime, MemberId, Version},
+    ids::{BootTime, Generation, MemberId, Version},
     ring::EventRing,
 };
 use fighall_kernel::{errors::Result, kernel::MicroKernel, stage::LifeStage};
 use fighall_membership::{
-    lease::{MemberLease, member_of, object_name},
+    lease::{MemberKey, MemberLease},
     table::{ClaimPlan, Evidence, MemberTable, TableOptions},
 };
 use fighall_peer::{mesh::PeerMesh, view::PeerAddress};
@@ -37,6 +37,7 @@
     member: MemberId,
     version: Version,
     lease: MemberLease,
+    claimed_at: BootTime,
     renewed_at: BootTime,
     active_at: BootTime,
 }
@@ -68,8 +69,8 @@
     /// Returns an error when a service that it needs is missing.
     pub fn new(kernel: &Rc<MicroKernel>, seeds: Vec<String>) -> Result<Self> {
         let options = TableOptions::default();
+        let identity: Rc<HostIdentity> = kernel.find(names::IDENTITY)?;
         Ok(Self {
-            identity: kernel.find(names::IDENTITY)?,
             ring: kernel.find(names::EVENTS)?,
             store: kernel.find(names::STORE)?,
             mesh: kernel.find(names::MESH)?,
@@ -78,7 +79,8 @@
             kernel: Rc::clone(kernel),
             seeds,
             lease_time: Cell::new(options.lease_time),
-            table: RefCell::new(MemberTable::new(options, 0..0)),
+            table: RefCell::new(MemberTable::new(options, &identity.region, 0)),
+            identity,
             held: RefCell::new(None),
             proved_at: Cell::new(Duration::ZERO),
             changed: Event::new(),
@@ -142,7 +144,7 @@
         lease.wait_out_ms = millis(wait_out);
         lease.renewal += 1;
         let text = serde_json::to_string(&lease).unwrap_or_default();
-        let name = object_name(held.member);
+        let name = self.object_name(held.member);
         let write = self
             .store
             .put_settled(kinds::MEMBERS, &name, &text, held.version);
@@ -152,9 +154,19 @@
 
     /// Gets the leases of all held ids.
     pub fn leases(&self) -> Vec<MemberLease> {
+        self.table.borrow().held().cloned().collect()
+    }
+
+    /// Gets the time after which the id held was claimed: every change accepted before it must be
+    /// known before the base shares are used.
+    pub fn claimed_at(&self) -> Option<BootTime> {
+        Some(self.held.borrow().as_ref()?.claimed_at)
+    }
+
+    /// Tells whether every other member id was claimed with `generation` or a later one in force.
+    pub fn is_claimed_since(&self, generation: Generation) -> bool {
         let table = self.table.borrow();
-        let held = table.held().into_iter();
-        held.map(|(_, lease)| lease.clone()).collect()
+        table.is_claimed_since(generation, &self.identity.host)
     }
 
     /// Gets the lease time in force.
@@ -170,7 +182,7 @@
     // Without any other member nobody is there to take the id over.
     fn is_alone(&self) -> bool {
         let table = self.table.borrow();
-        table.held().len() <= 1
+        table.held().count() <= 1
     }
 
     // Takes the table from the copy of the leases; finds out whether the own id has moved.
@@ -178,7 +190,7 @@
         let now = boot_time();
         if let Some(config) = self.config.config() {
             let lease_time = Duration::from_millis(config.fleet.lease_ms);
-            let members = config.fleet.members_of(&self.identity.region);
+            let members = config.fleet.members_in(&self.identity.region);
             self.lease_time.set(lease_time);
             let options = TableOptions::with_lease_time(lease_time);
             self.table.borrow_mut().set_bounds(options, members);
@@ -191,17 +203,17 @@
         self.mirrors.with_kind(kinds::MEMBERS, |mirror| {
             let mut table = self.table.borrow_mut();
             for change in mirror.changes_after(0) {
-                let Some(member) = member_of(&change.name) else {
+                let Some(member) = MemberKey::with_object_name(&change.name) else {
                     continue;
                 };
-                let known = table.get(member).map(|(_, version)| version);
+                let known = table.get(&member).map(|(_, version)| version);
                 if known.is_some_and(|known| known >= change.version) {
                     continue;
                 }
                 let lease = change.value.as_deref();
                 let lease: Option<MemberLease> =
                     lease.and_then(|text| serde_json::from_str(text).ok());
-                table.observe(now, member, change.version, lease.as_ref());
+                table.observe(&member, change.version, lease.as_ref());
             }
             if mirror.age(now).is_some() {
                 table.set_complete();
@@ -218,7 +230,8 @@
                 return;
             };
             let table = self.table.borrow();
-            table.get(held.member).is_some_and(|(lease, version)| {
+            let key = MemberKey::new(&self.identity.region, held.member);
+            table.get(&key).is_some_and(|(lease, version)| {
                 let own = lease.is_held_by(&self.identity.host, self.identity.incarnation);
                 version > held.version && !own
             })
@@ -319,7 +332,7 @@
         let plan = {
             let table = self.table.borrow();
             let evidence = |_: MemberId, lease: &MemberLease| self.evidence(now, lease);
-            table.claimable(now, &self.identity.host, &evidence)
+            table.claimable(&self.identity.host, &evidence)
         };
         let Some(plan) = plan else {
             return;
@@ -328,6 +341,8 @@
         let outcome = self.write(plan.member, &lease, plan.expected).await;
         if let Ok(WriteOutcome::Written { version }) = outcome {
             self.take_member(now, &plan, version, lease);
+            self.mirrors.refresh(kinds::POINTERS).await;
+            self.mirrors.refresh(kinds::MEMBERS).await;
         }
     }
 
@@ -336,6 +351,7 @@
             member: plan.member,
             version,
             lease,
+            claimed_at: boot_time(),
             renewed_at: now,
             active_at: boot_time() + plan.wait_out,
         };
@@ -354,7 +370,7 @@
         expected: Option<Version>,
     ) -> fighall_platform::errors::Result<WriteOutcome> {
         let text = serde_json::to_string(lease).unwrap_or_default();
-        let name = object_name(member);
+        let name = self.object_name(member);
         match expected {
             None => {
                 self.store
@@ -369,11 +385,16 @@
         }
     }
 
+    fn object_name(&self, member: MemberId) -> String {
+        MemberKey::new(&self.identity.region, member).object_name()
+    }
+
     fn new_lease(&self) -> MemberLease {
         let identity = &self.identity;
         MemberLease {
             host: identity.host.clone(),
             incarnation: identity.incarnation,
+            claimed_generation: self.config.generation(),
             peer_address: identity.peer_address.clone(),
             forward_address: identity.forward_address.clone(),
             caller_address: identity.caller_address.clone(),
--- a/crates/entry/src/mirrors.rs
+++ b/crates/entry/src/mirrors.rs
@@ -172,6 +172,19 @@
         self.with_kind(kind, |mirror| mirror.age(boot_time()))?
     }
 
+    /// Gets the time before which every accepted change of a kind is known here.
+    pub fn confirmed_at(&self, kind: &str) -> Option<BootTime> {
+        self.with_kind(kind, KindMirror::confirmed_at)?
+    }
+
+    /// Lists a kind now, instead of waiting for its watch. Without an answer the copy stays.
+    pub async fn refresh(&self, kind: &str) {
+        let sent_at = boot_time();
+        if let Ok(list) = self.store.list(kind).await {
+            self.take_step(kind, WatchStep::Listed { list, sent_at });
+        }
+    }
+
     /// Takes in changes that a peer or an operator brought.
     pub fn take_delta(&self, delta: &MirrorDelta) {
         let version = self.version(&delta.kind);
@@ -326,14 +339,10 @@
     }
 
     fn set_mark(&self, kind: &str) {
-        let now = boot_time();
-        let mark = self.with_kind(kind, |mirror| {
-            let confirmed_at = mirror.age(now).map(|age| now.saturating_sub(age));
-            (mirror.version(), confirmed_at)
+        self.with_kind(kind, |mirror| {
+            let mesh = &self.mesh;
+            mesh.set_mark(kind, mirror.version(), mirror.confirmed_at());
         });
-        if let Some((version, confirmed_at)) = mark {
-            self.mesh.set_mark(kind, version, confirmed_at);
-        }
     }
 
     fn request(&self, peer: &str, kind: &str, after: u64) {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -141,8 +141,7 @@
     /// Waits until the host has a configuration and may use its member id's shares.
     pub async fn ready(&self) {
         loop {
-            let member = self.members.active_member(boot_time());
-            if self.config.generation() > 0 && member.is_some() {
+            if self.config.generation() > 0 && self.quotas.is_active() {
                 return;
             }
             compio::time::sleep(STATE_INTERVAL / 5).await;
@@ -296,14 +295,13 @@
     }
 
     fn host_state(&self) -> HostState {
-        let now = boot_time();
         let running = self.kernel.signal().stage() == LifeStage::Running;
-        let active = self.members.active_member(now).is_some();
         let generation = self.config.generation();
         HostState {
             member: self.members.member(),
             generation,
-            open: running && active && generation > 0,
+            settled: self.quotas.settled(),
+            open: running && self.quotas.is_active() && generation > 0,
             overloaded: self.targets.is_overloaded(),
             store_up: self.mirrors.is_store_up(),
             caller_address: self.identity.caller_address.clone(),
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -115,7 +115,7 @@
     fn ready(&self) -> Response<ProxyBody> {
         let running = self.kernel.signal().stage() == LifeStage::Running;
         let configured = self.config.generation() > 0;
-        let member = self.members.active_member(boot_time()).is_some();
+        let member = self.quotas.is_active();
         if running && configured && member {
             return plain(StatusCode::OK, "ready\n");
         }
@@ -160,7 +160,7 @@
             stage: format!("{:?}", self.kernel.signal().stage()).to_lowercase(),
             generation: self.config.generation(),
             member: self.members.member(),
-            active: self.members.active_member(now).is_some(),
+            active: self.quotas.is_active(),
             store_up: self.store.is_up(),
             keys_fresh: self.authority.is_fresh(now),
             keys_version: keys.unwrap_or(0),
--- a/crates/entry/src/quotas.rs
+++ b/crates/entry/src/quotas.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     bases::base_grants, configuration::ConfigService, identity::HostIdentity,
-    members::MemberService, metrics::EntryMetrics, names, pacing::LinkPace,
+    members::MemberService, metrics::EntryMetrics, mirrors::MirrorService, names, pacing::LinkPace,
 };
 use event_listener::Event;
 use fighall_config::assembly::FleetConfig;
@@ -19,11 +19,13 @@
     mesh::PeerMesh,
     message::{OrgDemand, PeerMessage},
 };
+use fighall_platform::object::kinds;
 use fighall_quota::{
     amount::TOKEN,
     book::{BookOptions, QuotaBook},
     loan::{LoanMessage, OutgoingLoan, QuotaKey},
     rate::{RateOptions, ShareView},
+    settle::SettledGenerations,
     slots::{SlotTicket, SlotView},
 };
 use futures_util::{FutureExt, pin_mut, select_biased};
@@ -80,6 +82,7 @@
     regions: RefCell<BTreeMap<String, RegionId>>,
     book_generation: Cell<Generation>,
     book_member: Cell<Option<MemberId>>,
+    mirrors: Rc<MirrorService>,
     lending: Cell<LendingPolicy>,
     hurry: Event,
     changed: Event,
@@ -134,11 +137,13 @@
     pub fn new(kernel: &MicroKernel) -> Result<Self> {
         let identity: Rc<HostIdentity> = kernel.find(names::IDENTITY)?;
         let book = QuotaBook::new(BookOptions::default(), &identity.host, identity.incarnation);
+        let book = book.with_join();
         Ok(Self {
             ring: kernel.find(names::EVENTS)?,
             mesh: kernel.find(names::MESH)?,
             config: kernel.find(names::CONFIGURATION)?,
             members: kernel.find(names::MEMBERS)?,
+            mirrors: kernel.find(names::MIRRORS)?,
             metrics: kernel.find(names::METRICS)?,
             identity,
             book: RefCell::new(book),
@@ -341,6 +346,16 @@
         self.send(outgoing);
     }
 
+    /// Tells whether this host's base shares are in use.
+    pub fn is_active(&self) -> bool {
+        self.may_spend(boot_time()) && self.book.borrow().is_active()
+    }
+
+    /// Gets the generations that have settled, for peers.
+    pub fn settled(&self) -> SettledGenerations {
+        self.book.borrow().settled()
+    }
+
     /// Gets the time until all loans of this host have ended for certain.
     pub fn outstanding(&self) -> Duration {
         self.book.borrow().outstanding(boot_time())
@@ -465,12 +480,31 @@
         if config.generation > self.book_generation.get() {
             self.set_bases(now, &config, member);
         }
-        let usable = self.members.active_member(now).is_some();
-        if usable && !self.book.borrow().is_active() {
+        let inactive = !self.book.borrow().is_active();
+        if inactive && self.may_spend(now) && self.knows_accepted_changes() {
             self.book.borrow_mut().activate(now);
         }
     }
 
+    // Others may have raised their shares by a change that was accepted before this host claimed
+    // its id: it must be in force here before the base shares are used.
+    fn knows_accepted_changes(&self) -> bool {
+        let confirmed_at = self.mirrors.confirmed_at(kinds::POINTERS);
+        let claimed_at = self.members.claimed_at();
+        if claimed_at.is_none() || confirmed_at < claimed_at || !self.config.is_latest() {
+            return false;
+        }
+        let generation = self.config.generation();
+        self.mesh.with_views(|views| {
+            for view in views {
+                if view.state.generation > generation {
+                    return false;
+                }
+            }
+            true
+        })
+    }
+
     // Another member id has other base shares, and what the old one lent or held belongs to its
     // successor: the book starts anew. A new incarnation keeps its loans apart from the old ones.
     fn reset_book(&self, config: Option<&FleetConfig>) {
@@ -481,11 +515,13 @@
                 RateOptions::with_term(Duration::from_millis(config.fleet.slot_loan_ms));
         }
         let incarnation = wall_millis().max(self.identity.incarnation + 1);
-        *self.book.borrow_mut() = QuotaBook::new(options, &self.identity.host, incarnation);
+        let book = QuotaBook::new(options, &self.identity.host, incarnation);
+        *self.book.borrow_mut() = book.with_join();
         self.book_generation.set(0);
     }
 
     fn set_bases(&self, now: BootTime, config: &FleetConfig, member: MemberId) {
+        self.learn_settled(now, config.generation);
         let grants = base_grants(config, &self.identity.region, member);
         self.book
             .borrow_mut()
@@ -500,18 +536,40 @@
         *self.regions.borrow_mut() = regions;
     }
 
+    // A lease whose holder was not heard counts as one of no generation.
     fn confirm_generation(&self, now: BootTime) {
-        let mut lowest = self.config.generation();
-        let members = self.members.leases();
+        let generation = self.config.generation();
+        self.learn_settled(now, generation);
+        let mut lowest = if self.knows_members() { generation } else { 0 };
+        for lease in self.members.leases() {
+            if lease.host == self.identity.host {
+                continue;
+            }
+            let view = self.mesh.view(&lease.host);
+            let view = view.filter(|view| view.heard_incarnation == Some(lease.incarnation));
+            lowest = lowest.min(view.map_or(0, |view| view.state.generation));
+        }
+        self.book.borrow_mut().confirm(now, lowest);
+    }
+
+    fn learn_settled(&self, now: BootTime, generation: Generation) {
+        let mut settled = SettledGenerations::default();
+        if self.knows_members() && self.members.is_claimed_since(generation) {
+            settled.rates = generation;
+            settled.slots = generation;
+        }
         self.mesh.with_views(|views| {
             for view in views {
-                let holds = members.iter().any(|lease| lease.host == view.peer.host);
-                if holds {
-                    lowest = lowest.min(view.state.generation);
-                }
+                settled = settled.max(view.state.settled);
             }
         });
-        self.book.borrow_mut().confirm(now, lowest);
+        self.book.borrow_mut().learn_settled(now, settled);
+    }
+
+    // Whoever claims an id later than the generation in force was accepted knows that generation.
+    fn knows_members(&self) -> bool {
+        let confirmed_at = self.mirrors.confirmed_at(kinds::MEMBERS);
+        confirmed_at.is_some_and(|at| at >= self.config.in_force_at())
     }
 
     fn peers_in_order(&self, now: BootTime) -> Vec<HostId> {
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -526,10 +526,10 @@
     }
 
     fn connection_share(&self, target: &ServiceTarget) -> u32 {
-        let members = self.config.config().map_or(1, |config| {
-            let members = config.fleet.members_of(&target.region);
-            members.end - members.start
-        });
+        let members = self
+            .config
+            .config()
+            .map_or(1, |config| config.fleet.members_in(&target.region));
         (target.connections / members.max(1)).max(1)
     }
 
--- a/crates/entry/tests/process.rs
+++ b/crates/entry/tests/process.rs
@@ -115,7 +115,10 @@
             compio::time::sleep(Duration::from_millis(50)).await;
         };
         assert_eq!(exit.code(), Some(0));
-        let lease = cluster.platform.get("members", "member-00000").unwrap();
+        let lease = cluster
+            .platform
+            .get("members", "member-lima-00000")
+            .unwrap();
         assert!(lease.value.contains("\"released\":true"), "{}", lease.value);
     });
 }
--- a/crates/membership/src/lease.rs
+++ b/crates/membership/src/lease.rs
@@ -1,10 +1,42 @@
 //! The lease object of a member id.
 
 use fighall_core::{
-    ids::{HostId, Incarnation, MemberId, RegionId, ZoneId},
+    ids::{Generation, HostId, Incarnation, MemberId, RegionId, ZoneId},
     message,
 };
 
+message! {
+    /// `MemberKey` names a member id: its region, and its index there.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct MemberKey {
+        /// Region.
+        pub region: RegionId,
+        /// Index among the members of the region.
+        pub index: MemberId,
+    }
+}
+
+impl MemberKey {
+    /// Creates the key of an index in a region.
+    pub fn new(region: &str, index: MemberId) -> Self {
+        Self {
+            region: region.to_owned(),
+            index,
+        }
+    }
+
+    /// Reads a key from the name of its object in the store.
+    pub fn with_object_name(name: &str) -> Option<Self> {
+        let (region, index) = name.strip_prefix("member-")?.rsplit_once('-')?;
+        Some(Self::new(region, index.parse().ok()?))
+    }
+
+    /// Gets the name of the member id's object in the store.
+    pub fn object_name(&self) -> String {
+        format!("member-{}-{:05}", self.region, self.index)
+    }
+}
+
 message! {
     /// `MemberLease` is the value of a member id's object in the store.
     pub struct MemberLease {
@@ -12,6 +44,8 @@
         pub host: HostId,
         /// Incarnation of the holder.
         pub incarnation: Incarnation,
+        /// Generation that the holder had in force when it claimed the id.
+        pub claimed_generation: Generation,
         /// Address for peers.
         pub peer_address: String,
         /// Address for requests forwarded by peers.
@@ -40,6 +74,7 @@
         Self {
             host: host.to_owned(),
             incarnation,
+            claimed_generation: 0,
             peer_address: peer_address.to_owned(),
             forward_address: String::new(),
             caller_address: String::new(),
@@ -58,12 +93,15 @@
     }
 }
 
-/// Gets the name of a member id's object in the store.
-pub fn object_name(member: MemberId) -> String {
-    format!("member-{member:05}")
-}
+#[cfg(test)]
+mod tests {
+    use super::*;
 
-/// Gets the member id of an object's name.
-pub fn member_of(name: &str) -> Option<MemberId> {
-    name.strip_prefix("member-")?.parse().ok()
+    #[test]
+    fn keys_are_read_back_from_their_object_names() {
+        let key = MemberKey::new("lima-norte", 17);
+        assert_eq!(key.object_name(), "member-lima-norte-00017");
+        assert_eq!(MemberKey::with_object_name(&key.object_name()), Some(key));
+        assert_eq!(MemberKey::with_object_name("member-00017"), None);
+    }
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -5,16 +5,15 @@
 //! holder that learns of its successor stops at once. See [`table::MemberTable`] for the rule.
 //!
 //! ```
-//! use fighall_membership::{lease::MemberLease, table::{Evidence, MemberTable, TableOptions}};
-//! use std::time::Duration;
+//! use fighall_membership::{lease::{MemberKey, MemberLease}, table::{Evidence, MemberTable, TableOptions}};
 //!
-//! let mut table = MemberTable::new(TableOptions::default(), 0..3);
+//! let mut table = MemberTable::new(TableOptions::default(), "lima", 3);
 //! // A lease that is renewed is never handed on.
 //! let lease = MemberLease::with_holder("a1", 7, "127.0.0.1:1");
-//! table.observe(Duration::ZERO, 0, 1, Some(&lease));
+//! table.observe(&MemberKey::new("lima", 0), 1, Some(&lease));
 //! let gone = |_: u32, _: &MemberLease| Evidence { unlisted: true, unheard: true };
 //! // Ids that were never held come first.
-//! assert_eq!(table.claimable(Duration::from_secs(1), "b1", &gone).unwrap().member, 1);
+//! assert_eq!(table.claimable("b1", &gone).unwrap().member, 1);
 //! ```
 
 #![forbid(unsafe_code)]
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -6,12 +6,12 @@
 //! no live peer has heard the old incarnation in that time. A lapse alone is no evidence: during
 //! an outage of the store nobody can renew.
 
-use crate::lease::MemberLease;
+use crate::lease::{MemberKey, MemberLease};
 use fighall_core::{
-    ids::{BootTime, MemberId, Version},
+    ids::{BootTime, Generation, MemberId, RegionId, Version},
     value,
 };
-use std::{collections::BTreeMap, ops::Range, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 value! {
     /// `TableOptions` are the bounds of leases.
@@ -53,7 +53,7 @@
 value! {
     /// `ClaimPlan` is a claim that may be made now.
     pub struct ClaimPlan {
-        /// Member id.
+        /// Member id in the own region.
         pub member: MemberId,
         /// Version that the object must be at; none when it must not exist.
         pub expected: Option<Version>,
@@ -70,21 +70,23 @@
     unchanged: Duration,
 }
 
-/// `MemberTable` is one host's view of the member ids of its region.
+/// `MemberTable` is one host's view of all member ids. It may hold those of its own region.
 #[derive(Debug)]
 pub struct MemberTable {
     options: TableOptions,
-    members: Range<MemberId>,
-    seen: BTreeMap<MemberId, SeenMember>,
+    region: RegionId,
+    members: u32,
+    seen: BTreeMap<MemberKey, SeenMember>,
     observed_at: Option<BootTime>,
     complete: bool,
 }
 
 impl MemberTable {
-    /// Creates an empty view of the ids that this host may hold.
-    pub fn new(options: TableOptions, members: Range<MemberId>) -> Self {
+    /// Creates an empty view of a host whose region has `members` ids.
+    pub fn new(options: TableOptions, region: &str, members: u32) -> Self {
         Self {
             options,
+            region: region.to_owned(),
             members,
             seen: BTreeMap::new(),
             observed_at: None,
@@ -92,8 +94,8 @@
         }
     }
 
-    /// Changes the bounds and ids; what was seen stays.
-    pub fn set_bounds(&mut self, options: TableOptions, members: Range<MemberId>) {
+    /// Changes the bounds and the number of the region's ids; what was seen stays.
+    pub fn set_bounds(&mut self, options: TableOptions, members: u32) {
         self.options = options;
         self.members = members;
     }
@@ -113,19 +115,12 @@
     }
 
     /// Takes in the state of one id's object.
-    pub fn observe(
-        &mut self,
-        now: BootTime,
-        member: MemberId,
-        version: Version,
-        lease: Option<&MemberLease>,
-    ) {
-        let _ = now;
+    pub fn observe(&mut self, member: &MemberKey, version: Version, lease: Option<&MemberLease>) {
         let Some(lease) = lease else {
-            self.seen.remove(&member);
+            self.seen.remove(member);
             return;
         };
-        let known = self.seen.get(&member);
+        let known = self.seen.get(member);
         if known.is_some_and(|known| known.version >= version) {
             return;
         }
@@ -134,7 +129,7 @@
             lease: lease.clone(),
             unchanged: Duration::ZERO,
         };
-        self.seen.insert(member, entry);
+        self.seen.insert(member.clone(), entry);
     }
 
     /// Notes that the table holds every id's object.
@@ -148,40 +143,45 @@
     }
 
     /// Gets the lease and version of an id.
-    pub fn get(&self, member: MemberId) -> Option<(&MemberLease, Version)> {
-        let seen = self.seen.get(&member)?;
+    pub fn get(&self, member: &MemberKey) -> Option<(&MemberLease, Version)> {
+        let seen = self.seen.get(member)?;
         Some((&seen.lease, seen.version))
     }
 
     /// Lists all leases that are held.
-    pub fn held(&self) -> Vec<(MemberId, &MemberLease)> {
-        let seen = self.seen.iter().filter(|(_, seen)| !seen.lease.released);
-        seen.map(|(member, seen)| (*member, &seen.lease)).collect()
+    pub fn held(&self) -> impl Iterator<Item = &MemberLease> {
+        let leases = self.seen.values().map(|seen| &seen.lease);
+        leases.filter(|lease| !lease.released)
+    }
+
+    /// Tells whether every id was claimed with `generation` or a later one in force, except the
+    /// one of `host`: nobody can then hold a share of an earlier generation.
+    pub fn is_claimed_since(&self, generation: Generation, host: &str) -> bool {
+        let mut others = self.seen.values().filter(|seen| seen.lease.host != host);
+        others.all(|seen| seen.lease.claimed_generation >= generation)
     }
 
     /// Finds an id that `host` may claim now. Its own last id comes first, then ids never held or
     /// released, then ids whose holder is gone by all evidence.
     pub fn claimable(
         &self,
-        now: BootTime,
         host: &str,
         evidence: &impl Fn(MemberId, &MemberLease) -> Evidence,
     ) -> Option<ClaimPlan> {
-        let _ = now;
-        let own = self.members.clone().find(|member| {
-            let seen = self.seen.get(member);
+        let own = (0..self.members).find(|member| {
+            let seen = self.seen_at(*member);
             seen.is_some_and(|seen| seen.lease.host == host)
         });
-        let free = self.members.clone().find(|member| {
-            let seen = self.seen.get(member);
+        let free = (0..self.members).find(|member| {
+            let seen = self.seen_at(*member);
             seen.is_none_or(|seen| seen.lease.released)
         });
         // The same host name at a new incarnation is a new process in place of the old one.
         if let Some(plan) = own.or(free).map(|member| self.plan(member)) {
             return Some(plan);
         }
-        for member in self.members.clone() {
-            let Some(seen) = self.seen.get(&member) else {
+        for member in 0..self.members {
+            let Some(seen) = self.seen_at(member) else {
                 continue;
             };
             if seen.unchanged < self.options.lease_time {
@@ -195,8 +195,12 @@
         None
     }
 
+    fn seen_at(&self, member: MemberId) -> Option<&SeenMember> {
+        self.seen.get(&MemberKey::new(&self.region, member))
+    }
+
     fn plan(&self, member: MemberId) -> ClaimPlan {
-        let seen = self.seen.get(&member);
+        let seen = self.seen_at(member);
         let wait_out = seen.map_or(0, |seen| seen.lease.wait_out_ms);
         ClaimPlan {
             member,
@@ -217,16 +221,16 @@
     };
 
     fn held_table() -> MemberTable {
-        let mut table = MemberTable::new(TableOptions::default(), 0..1);
+        let mut table = MemberTable::new(TableOptions::default(), "lima", 1);
         let mut lease = MemberLease::with_holder("a", 1, "127.0.0.1:1");
         lease.wait_out_ms = 4_000;
-        table.observe(SECOND, 0, 5, Some(&lease));
+        table.observe(&MemberKey::new("lima", 0), 5, Some(&lease));
         table.set_complete();
         table.tick(SECOND);
         table
     }
 
-    fn tick_seconds(table: &mut MemberTable, seconds: Range<u32>) {
+    fn tick_seconds(table: &mut MemberTable, seconds: std::ops::Range<u32>) {
         for second in seconds {
             table.tick(SECOND * second);
         }
@@ -237,28 +241,51 @@
         let mut table = held_table();
         // The store is down for an hour and then answers once: nobody could renew meanwhile.
         table.tick(SECOND * 3_600);
-        assert_eq!(table.claimable(SECOND * 3_600, "b", &|_, _| GONE), None);
+        assert_eq!(table.claimable("b", &|_, _| GONE), None);
         tick_seconds(&mut table, 3_601..3_606);
-        assert_eq!(table.claimable(SECOND * 3_605, "b", &|_, _| GONE), None);
+        assert_eq!(table.claimable("b", &|_, _| GONE), None);
         table.tick(SECOND * 3_606);
-        let plan = table.claimable(SECOND * 3_606, "b", &|_, _| GONE).unwrap();
+        let plan = table.claimable("b", &|_, _| GONE).unwrap();
         assert_eq!(plan.expected, Some(5));
         assert_eq!(plan.wait_out, SECOND * 4);
     }
 
+    #[test]
+    fn ids_of_other_regions_are_known_and_not_claimed() {
+        let mut table = held_table();
+        let lease = MemberLease::with_holder("c", 1, "127.0.0.1:2");
+        table.observe(&MemberKey::new("iquitos", 0), 6, Some(&lease));
+        assert_eq!(table.held().count(), 2);
+        tick_seconds(&mut table, 2..20);
+        assert_eq!(
+            table.claimable("c", &|_, _| GONE).unwrap().expected,
+            Some(5)
+        );
+    }
+
+    #[test]
+    fn a_claim_of_an_earlier_generation_is_told() {
+        let mut table = held_table();
+        let mut lease = MemberLease::with_holder("c", 1, "127.0.0.1:2");
+        lease.claimed_generation = 4;
+        table.observe(&MemberKey::new("iquitos", 0), 6, Some(&lease));
+        assert!(table.is_claimed_since(4, "a"));
+        assert!(!table.is_claimed_since(5, "a"));
+        assert!(!table.is_claimed_since(4, "b"));
+    }
+
     #[test]
     fn each_evidence_is_needed() {
         let mut table = held_table();
         tick_seconds(&mut table, 2..20);
-        let now = SECOND * 20;
         for evidence in [(false, true), (true, false), (false, false)] {
             let evidence = Evidence {
                 unlisted: evidence.0,
                 unheard: evidence.1,
             };
-            assert_eq!(table.claimable(now, "b", &|_, _| evidence), None);
+            assert_eq!(table.claimable("b", &|_, _| evidence), None);
         }
-        assert!(table.claimable(now, "b", &|_, _| GONE).is_some());
+        assert!(table.claimable("b", &|_, _| GONE).is_some());
     }
 
     #[test]
@@ -266,9 +293,9 @@
         let mut table = held_table();
         tick_seconds(&mut table, 2..7);
         let lease = MemberLease::with_holder("a", 1, "127.0.0.1:1");
-        table.observe(SECOND * 7, 0, 6, Some(&lease));
+        table.observe(&MemberKey::new("lima", 0), 6, Some(&lease));
         tick_seconds(&mut table, 7..10);
-        assert_eq!(table.claimable(SECOND * 10, "b", &|_, _| GONE), None);
+        assert_eq!(table.claimable("b", &|_, _| GONE), None);
     }
 
     #[test]
@@ -278,7 +305,7 @@
             unlisted: false,
             unheard: false,
         };
-        let plan = table.claimable(SECOND, "a", &|_, _| none).unwrap();
+        let plan = table.claimable("a", &|_, _| none).unwrap();
         assert_eq!(plan.member, 0);
         assert_eq!(plan.wait_out, SECOND * 4);
     }
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -352,8 +352,13 @@
     pub(crate) fn note_heard(&self, peer: &str, incarnation: Incarnation, now: BootTime) {
         let mut peers = self.peers.borrow_mut();
         if let Some(entry) = peers.get_mut(peer) {
-            entry.view.heard_at = Some(now);
-            entry.view.heard_incarnation = Some(incarnation);
+            let view = &mut entry.view;
+            // What an earlier incarnation told does not hold for this one.
+            if view.heard_incarnation != Some(incarnation) {
+                view.state = HostState::default();
+            }
+            view.heard_at = Some(now);
+            view.heard_incarnation = Some(incarnation);
         }
     }
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -8,7 +8,7 @@
     message,
 };
 use fighall_platform::{mirror::MirrorState, object::ObjectChange};
-use fighall_quota::loan::LoanMessage;
+use fighall_quota::{loan::LoanMessage, settle::SettledGenerations};
 
 message! {
     /// `LinkChallenge` is the first message of the accepting side.
@@ -102,6 +102,8 @@
         pub member: Option<MemberId>,
         /// Generation in force.
         pub generation: Generation,
+        /// Generations that it has found settled.
+        pub settled: SettledGenerations,
         /// Whether it takes new callers and forwarded requests.
         pub open: bool,
         /// Whether it has less room than it needs.
--- a/crates/platform/src/mirror.rs
+++ b/crates/platform/src/mirror.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Gets the time of the latest confirmation: everything accepted before is known.
+    pub fn confirmed_at(&self) -> Option<BootTime> {
+        self.confirmed_at
+    }
+
     /// Gets the age of the latest confirmation.
     pub fn age(&self, now: BootTime) -> Option<Duration> {
         Some(now.saturating_sub(self.confirmed_at?))
--- a/crates/quota/src/base.rs
+++ b/crates/quota/src/base.rs
@@ -1,12 +1,80 @@
 //! Base shares: what a member holds of a quota by its id alone.
 
 use crate::amount::{QuotaLimit, TOKEN};
-use fighall_core::{ids::MemberId, rendezvous, value};
+use fighall_core::{
+    ids::{Generation, MemberId},
+    rendezvous, tag, value,
+};
 
 /// Fewest whole tokens of burst that a holder's base share should have. A smaller share could
 /// never run a request without a loan.
 const HOLDER_TOKENS: u64 = 4;
 
+tag! {
+    /// `ShareStart` is when the first base share of a ledger may be used.
+    pub enum ShareStart {
+        /// At once: no other member can hold a share of another generation.
+        AtOnce,
+        /// Once its generation has settled.
+        Settled,
+    }
+}
+
+/// `BaseShare` is the base share in force, with the one that waits for its generation to settle.
+#[derive(Debug, Clone)]
+pub(crate) struct BaseShare<T> {
+    pub(crate) generation: Generation,
+    pub(crate) effective: T,
+    pending: Option<T>,
+}
+
+impl<T: Copy> BaseShare<T> {
+    pub(crate) fn new(generation: Generation, share: T) -> Self {
+        Self {
+            generation,
+            effective: share,
+            pending: None,
+        }
+    }
+
+    pub(crate) fn with_start(generation: Generation, share: T, start: ShareStart, zero: T) -> Self {
+        match start {
+            ShareStart::AtOnce => Self::new(generation, share),
+            ShareStart::Settled => Self {
+                generation,
+                effective: zero,
+                pending: Some(share),
+            },
+        }
+    }
+
+    // A change that keeps the holders binds at once: all members together then stay below the
+    // larger limit. One that picks other holders lowers at once and raises when it has settled.
+    pub(crate) fn change(
+        &mut self,
+        generation: Generation,
+        share: T,
+        same_holders: bool,
+        lower: impl Fn(T, T) -> T,
+    ) {
+        self.generation = generation;
+        if same_holders && self.pending.is_none() {
+            self.effective = share;
+            return;
+        }
+        self.effective = lower(self.effective, share);
+        self.pending = Some(share);
+    }
+
+    pub(crate) fn settle(&mut self, settled: Generation) {
+        if settled >= self.generation
+            && let Some(share) = self.pending.take()
+        {
+            self.effective = share;
+        }
+    }
+}
+
 value! {
     /// `BaseHolder` is a member's position among those that share a quota.
     #[derive(Eq)]
@@ -54,8 +122,12 @@
     // All members hold a large quota in the order of their ids. A small one is held by those
     // that rendezvous hashing ranks first, so that small quotas spread over the members.
     fn index(&self, holders: u32) -> Option<u32> {
+        // An id beyond the configured number of members has no share.
+        if self.member >= self.members {
+            return None;
+        }
         if holders == self.members {
-            return Some(self.member).filter(|member| *member < holders);
+            return Some(self.member);
         }
         let own = rendezvous::weight(&self.key, &self.member.to_string());
         let mut ahead = 0;
@@ -93,6 +165,16 @@
         }
     }
 
+    #[test]
+    fn a_member_beyond_the_configured_ones_holds_nothing() {
+        for burst in [1, 5, 100] {
+            let limit = QuotaLimit::new(10, burst);
+            for member in 9..30 {
+                assert!(BaseHolder::new("k", member, 9).share(limit).is_zero());
+            }
+        }
+    }
+
     #[test]
     fn a_small_quota_is_held_by_few() {
         let limit = QuotaLimit::new(1, 5);
--- a/crates/quota/src/book.rs
+++ b/crates/quota/src/book.rs
@@ -2,17 +2,21 @@
 
 use crate::{
     amount::{MicroTokens, QuotaLimit, TOKEN, gain},
-    base::BaseHolder,
+    base::{BaseHolder, ShareStart},
     demand::DemandRate,
     loan::{LoanAnswer, LoanAsk, LoanMessage, OutgoingLoan, QuotaKey},
     rate::{RateLedger, RateOptions, ShareView, reserve_for},
-    slots::{SlotLedger, SlotTicket, SlotView, rotated_member},
+    settle::{SettleClock, SettledGenerations},
+    slots::{SlotLedger, SlotPosition, SlotTicket, SlotView},
 };
 use fighall_core::{
     ids::{BootTime, Generation, HostId, Incarnation, MemberId},
     value,
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 value! {
     /// `BookOptions` are the bounds of a book's loans.
@@ -87,24 +91,38 @@
     options: BookOptions,
     active: bool,
     generation: Generation,
+    // The first generation, where other members may hold shares of earlier ones.
+    joined: Option<Generation>,
+    rate_clock: SettleClock,
+    slot_clock: SettleClock,
     rates: BTreeMap<QuotaKey, RateEntry>,
     slots: BTreeMap<QuotaKey, SlotEntry>,
 }
 
 impl QuotaBook {
-    /// Creates an empty book of a host's incarnation.
+    /// Creates an empty book of a host's incarnation. Its first base shares may be used at once.
     pub fn new(options: BookOptions, host: &str, incarnation: Incarnation) -> Self {
         Self {
             host: host.to_owned(),
             incarnation,
+            rate_clock: SettleClock::new(options.rates.longest()),
+            slot_clock: SettleClock::new(options.slots.longest()),
             options,
             active: false,
             generation: 0,
+            joined: None,
             rates: BTreeMap::new(),
             slots: BTreeMap::new(),
         }
     }
 
+    /// Makes the book join a fleet whose members may hold shares of earlier generations: its
+    /// first base shares rest until their generation has settled.
+    pub fn with_join(mut self) -> Self {
+        self.joined = Some(Generation::MAX);
+        self
+    }
+
     /// Tells whether base shares are in use.
     pub fn is_active(&self) -> bool {
         self.active
@@ -115,48 +133,101 @@
         if generation <= self.generation {
             return;
         }
+        self.joined = self.joined.map(|joined| joined.min(generation));
         self.generation = generation;
-        let listed: std::collections::BTreeSet<_> = grants.iter().map(|grant| &grant.key).collect();
+        self.lower_unlisted(now, grants);
+        for grant in grants {
+            self.set_base(now, grant);
+        }
+    }
+
+    fn lower_unlisted(&mut self, now: BootTime, grants: &[BaseGrant]) {
+        let generation = self.generation;
+        let listed: BTreeSet<_> = grants.iter().map(|grant| &grant.key).collect();
         for (key, entry) in &mut self.rates {
-            if !listed.contains(key) {
-                let holder = BaseHolder::new("", 0, 1);
-                entry
-                    .ledger
-                    .set_base(now, generation, QuotaLimit::default(), holder);
+            if listed.contains(key) {
+                continue;
             }
+            let holder = BaseHolder::new("", 0, 1);
+            let limit = QuotaLimit::default();
+            let start = ShareStart::AtOnce;
+            let ledger = &mut entry.ledger;
+            ledger.set_base(now, generation, limit, holder, start);
         }
         for (key, entry) in &mut self.slots {
-            if !listed.contains(key) {
-                entry.ledger.set_base(now, generation, 0, 0, 1);
+            if listed.contains(key) {
+                continue;
             }
-        }
-        for grant in grants {
-            self.set_base(now, generation, grant);
+            let position = SlotPosition {
+                member: 0,
+                members: 1,
+            };
+            let start = ShareStart::AtOnce;
+            let ledger = &mut entry.ledger;
+            ledger.set_base(now, generation, 0, position, start);
         }
     }
 
-    fn set_base(&mut self, now: BootTime, generation: Generation, grant: &BaseGrant) {
+    fn set_base(&mut self, now: BootTime, grant: &BaseGrant) {
+        let generation = self.generation;
         if let QuotaKey::Slots(name) = &grant.key {
+            let start = self.start(&self.slot_clock);
             let total = u32::try_from(grant.limit.capacity / TOKEN).unwrap_or(u32::MAX);
-            let member = rotated_member(name, grant.member, grant.members);
-            let entry = self.slot_entry(&grant.key);
-            entry
-                .ledger
-                .set_base(now, generation, total, member, grant.members);
+            let position = SlotPosition::with_name(name, grant.member, grant.members);
+            let ledger = &mut self.slot_entry(&grant.key).ledger;
+            ledger.set_base(now, generation, total, position, start);
             return;
         }
+        let start = self.start(&self.rate_clock);
         let holder = BaseHolder::new(&grant.key.to_string(), grant.member, grant.members);
-        let entry = self.rate_entry(now, &grant.key);
-        entry.ledger.set_base(now, generation, grant.limit, holder);
+        let ledger = &mut self.rate_entry(now, &grant.key).ledger;
+        ledger.set_base(now, generation, grant.limit, holder, start);
     }
 
-    /// Notes that every member has `generation` or a later one in force.
-    pub fn confirm(&mut self, now: BootTime, generation: Generation) {
-        for entry in self.rates.values_mut() {
-            entry.ledger.confirm(now, generation);
+    // Once the first generation of this book has settled, nobody holds shares from before.
+    fn start(&self, clock: &SettleClock) -> ShareStart {
+        match self.joined {
+            Some(joined) if clock.settled() < joined => ShareStart::Settled,
+            _ => ShareStart::AtOnce,
         }
-        for entry in self.slots.values_mut() {
-            entry.ledger.confirm(now, generation);
+    }
+
+    /// Notes the lowest generation that any member has in force. It must be called all the time:
+    /// shares that waited for a generation to settle are raised here.
+    pub fn confirm(&mut self, now: BootTime, lowest: Generation) {
+        let before = self.settled();
+        self.rate_clock.confirm(now, lowest);
+        self.slot_clock.confirm(now, lowest);
+        self.raise(now, before);
+    }
+
+    /// Takes in what another member has found settled.
+    pub fn learn_settled(&mut self, now: BootTime, settled: SettledGenerations) {
+        let before = self.settled();
+        self.rate_clock.learn(settled.rates);
+        self.slot_clock.learn(settled.slots);
+        self.raise(now, before);
+    }
+
+    /// Gets the latest generations that have settled.
+    pub fn settled(&self) -> SettledGenerations {
+        SettledGenerations {
+            rates: self.rate_clock.settled(),
+            slots: self.slot_clock.settled(),
+        }
+    }
+
+    fn raise(&mut self, now: BootTime, before: SettledGenerations) {
+        let settled = self.settled();
+        if settled.rates > before.rates {
+            for entry in self.rates.values_mut() {
+                entry.ledger.raise(now, settled.rates);
+            }
+        }
+        if settled.slots > before.slots {
+            for entry in self.slots.values_mut() {
+                entry.ledger.raise(settled.slots);
+            }
         }
     }
 
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -13,7 +13,7 @@
 //! ```
 //! use fighall_quota::{
 //!     amount::{QuotaLimit, TOKEN},
-//!     base::BaseHolder,
+//!     base::{BaseHolder, ShareStart},
 //!     rate::{RateLedger, RateOptions},
 //! };
 //! use std::time::Duration;
@@ -22,7 +22,7 @@
 //! let limit = QuotaLimit::new(90, 36);
 //! let holder = BaseHolder::new("acme", 0, 9);
 //! let mut ledger = RateLedger::new(RateOptions::default(), "host-0", 1, Duration::ZERO);
-//! ledger.set_base(Duration::ZERO, 1, limit, holder);
+//! ledger.set_base(Duration::ZERO, 1, limit, holder, ShareStart::AtOnce);
 //! ledger.activate(Duration::ZERO);
 //!
 //! // The bucket starts empty and fills at a ninth of the rate.
@@ -38,4 +38,5 @@
 pub mod demand;
 pub mod loan;
 pub mod rate;
+pub mod settle;
 pub mod slots;
--- a/crates/quota/src/rate.rs
+++ b/crates/quota/src/rate.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     amount::{MicroRate, MicroTokens, QuotaLimit, TOKEN, gain, time_for},
-    base::BaseHolder,
+    base::{BaseHolder, BaseShare, ShareStart},
     demand::DemandRate,
     loan::{
         IdSource, LoanAnswer, LoanAsk, LoanExtension, LoanGrant, LoanId, LoanMessage, LoanRenewal,
@@ -46,6 +46,11 @@
             shortest_term: term / 8,
         }
     }
+
+    /// Gets the time after which a loan lent now has ended for certain, at both ends.
+    pub fn longest(&self) -> Duration {
+        self.term + self.margin * 2
+    }
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -72,13 +77,10 @@
 }
 
 #[derive(Debug, Clone)]
-struct BaseShare {
-    generation: Generation,
+struct RateBase {
     limit: QuotaLimit,
     holder: BaseHolder,
-    effective: QuotaLimit,
-    pending: Option<QuotaLimit>,
-    raise_at: Option<BootTime>,
+    share: BaseShare<QuotaLimit>,
 }
 
 value! {
@@ -104,7 +106,7 @@
 pub struct RateLedger {
     options: RateOptions,
     ids: IdSource,
-    base: Option<BaseShare>,
+    base: Option<RateBase>,
     active: bool,
     own_lent: QuotaLimit,
     tokens: MicroTokens,
@@ -144,56 +146,46 @@
         }
     }
 
-    /// Sets the base share of a generation. An older generation changes nothing. A change that
-    /// keeps the holders binds at once; one that picks other holders lowers at once and raises
-    /// only after [`RateLedger::confirm`].
+    /// Sets the base share of a generation; `start` tells when the first one may be used. An older
+    /// generation changes nothing. A change that keeps the holders binds at once; one that picks
+    /// other holders lowers at once and raises with [`RateLedger::raise`].
     pub fn set_base(
         &mut self,
         now: BootTime,
         generation: Generation,
         limit: QuotaLimit,
         holder: BaseHolder,
+        start: ShareStart,
     ) {
         self.settle(now);
         let share = holder.share(limit);
-        let Some(base) = &mut self.base else {
-            self.base = Some(BaseShare {
-                generation,
-                limit,
-                holder,
-                effective: share,
-                pending: None,
-                raise_at: None,
-            });
-            return;
-        };
-        if generation <= base.generation {
-            return;
+        match &mut self.base {
+            None => {
+                let zero = QuotaLimit::default();
+                let share = BaseShare::with_start(generation, share, start, zero);
+                self.base = Some(RateBase {
+                    limit,
+                    holder,
+                    share,
+                });
+            }
+            Some(base) if generation > base.share.generation => {
+                let same = holder.same_holders(&base.holder, limit, base.limit);
+                base.share.change(generation, share, same, QuotaLimit::min);
+                base.limit = limit;
+                base.holder = holder;
+                self.clamp();
+            }
+            Some(_) => {}
         }
-        let same = holder.same_holders(&base.holder, limit, base.limit);
-        if same && base.pending.is_none() {
-            base.effective = share;
-        } else {
-            base.effective = base.effective.min(share);
-            base.pending = Some(share);
-            base.raise_at = None;
-        }
-        base.generation = generation;
-        base.limit = limit;
-        base.holder = holder;
-        self.clamp();
     }
 
-    /// Notes that every member has `generation` or a later one in force. The raise that waits
-    /// for it takes effect once the loans of the earlier generation have ended.
-    pub fn confirm(&mut self, now: BootTime, generation: Generation) {
-        let wait = self.options.term + self.options.margin * 2;
-        let Some(base) = &mut self.base else {
-            return;
-        };
-        if generation >= base.generation && base.pending.is_some() && base.raise_at.is_none() {
-            base.raise_at = Some(now + wait);
-            self.settled_until = Duration::ZERO;
+    /// Raises the base share if it waited for a generation that has settled by now: every member
+    /// has it in force, and all loans of earlier ones have ended.
+    pub fn raise(&mut self, now: BootTime, settled: Generation) {
+        self.settle(now);
+        if let Some(base) = &mut self.base {
+            base.share.settle(settled);
         }
     }
 
@@ -492,13 +484,13 @@
 
     fn own_held(&self) -> QuotaLimit {
         match &self.base {
-            Some(base) if self.active => base.effective.minus(self.own_lent),
+            Some(base) if self.active => base.share.effective.minus(self.own_lent),
             _ => QuotaLimit::default(),
         }
     }
 
     fn is_overdrawn(&self) -> bool {
-        let effective = self.base.as_ref().map(|base| base.effective);
+        let effective = self.base.as_ref().map(|base| base.share.effective);
         let effective = effective.unwrap_or_default();
         !self.own_lent.minus(effective).is_zero()
     }
@@ -609,7 +601,6 @@
         }
         self.refill(now);
         self.reclaim(now);
-        self.raise(now);
         let term = self.options.term;
         self.pending.retain(|_, asked_at| *asked_at + term > now);
         self.accepted.retain(|_, expires_at| *expires_at > now);
@@ -630,8 +621,8 @@
         }
     }
 
-    // The earliest time at which a loan ends or a raise is due; what is kept against messages
-    // that come twice is pruned then as well.
+    // The earliest time at which a loan ends; what is kept against messages that come twice is
+    // pruned then as well.
     fn next_change(&self, now: BootTime) -> BootTime {
         let mut next = now + self.options.term;
         for loan in self.borrowed.values() {
@@ -640,8 +631,7 @@
         for loan in self.lent.values() {
             next = next.min(loan.reclaim_at);
         }
-        let raise_at = self.base.as_ref().and_then(|base| base.raise_at);
-        next.min(raise_at.unwrap_or(next))
+        next
     }
 
     fn next_expired(&self, now: BootTime) -> Option<LoanId> {
@@ -653,16 +643,6 @@
         Some(id.clone())
     }
 
-    fn raise(&mut self, now: BootTime) {
-        let Some(base) = &mut self.base else {
-            return;
-        };
-        if base.raise_at.is_some_and(|at| at <= now) {
-            base.raise_at = None;
-            base.effective = base.pending.take().unwrap_or(base.effective);
-        }
-    }
-
     fn refill(&mut self, until: BootTime) {
         if until <= self.refreshed_at {
             return;
--- a/crates/quota/src/slots.rs
+++ b/crates/quota/src/slots.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     amount::{QuotaLimit, TOKEN},
+    base::{BaseShare, ShareStart},
     loan::{
         IdSource, LoanAnswer, LoanAsk, LoanGrant, LoanId, LoanMessage, LoanReturn, OutgoingLoan,
         QuotaKey,
@@ -13,7 +14,7 @@
 };
 use fighall_core::{
     ids::{BootTime, Generation, HostId, Incarnation, MemberId},
-    value,
+    rendezvous, value,
 };
 use std::{collections::BTreeMap, time::Duration};
 
@@ -65,13 +66,41 @@
 
 #[derive(Debug, Clone)]
 struct SlotBase {
-    generation: Generation,
-    total: u32,
-    member: MemberId,
-    members: u32,
-    effective: u32,
-    pending: Option<u32>,
-    raise_at: Option<BootTime>,
+    position: SlotPosition,
+    share: BaseShare<u32>,
+}
+
+value! {
+    /// `SlotPosition` is a member's position among those that share a target's slots.
+    #[derive(Copy, Eq)]
+    pub struct SlotPosition {
+        /// Position; one beyond the members holds nothing.
+        pub member: MemberId,
+        /// Number of members.
+        pub members: u32,
+    }
+}
+
+impl SlotPosition {
+    /// Creates a position whose order starts at a member that the quota's name picks, so that the
+    /// remainders of small targets do not all favour the first member.
+    pub fn with_name(name: &str, member: MemberId, members: u32) -> Self {
+        if member >= members {
+            return Self { member, members };
+        }
+        let offset = rendezvous::weight(name, "") % u64::from(members);
+        let offset = u32::try_from(offset).unwrap_or(0);
+        let member = (member + offset) % members;
+        Self { member, members }
+    }
+
+    /// Computes the base share of `total` slots. The shares of all members add up to it.
+    pub fn share(self, total: u32) -> u32 {
+        if self.member >= self.members {
+            return 0;
+        }
+        total / self.members + u32::from(self.member < total % self.members)
+    }
 }
 
 /// `SlotLedger` is one host's share of one target's slots.
@@ -106,56 +135,37 @@
         }
     }
 
-    /// Sets the base share of a generation: `total` slots over `members` members. An older
-    /// generation changes nothing. Another number of members lowers at once and raises only after
-    /// [`SlotLedger::confirm`].
+    /// Sets the base share of a generation, of `total` slots; `start` tells when the first one may
+    /// be used. An older generation changes nothing. Another position lowers at once and raises
+    /// with [`SlotLedger::raise`].
     pub fn set_base(
         &mut self,
         now: BootTime,
         generation: Generation,
         total: u32,
-        member: MemberId,
-        members: u32,
+        position: SlotPosition,
+        start: ShareStart,
     ) {
         self.settle(now);
-        let share = slot_share(total, member, members);
-        let Some(base) = &mut self.base else {
-            self.base = Some(SlotBase {
-                generation,
-                total,
-                member,
-                members,
-                effective: share,
-                pending: None,
-                raise_at: None,
-            });
-            return;
-        };
-        if generation <= base.generation {
-            return;
-        }
-        let same = base.member == member && base.members == members && base.pending.is_none();
-        if same {
-            base.effective = share;
-        } else {
-            base.effective = base.effective.min(share);
-            base.pending = Some(share);
-            base.raise_at = None;
+        let share = position.share(total);
+        match &mut self.base {
+            None => {
+                let share = BaseShare::with_start(generation, share, start, 0);
+                self.base = Some(SlotBase { position, share });
+            }
+            Some(base) if generation > base.share.generation => {
+                let same = base.position == position;
+                base.share.change(generation, share, same, u32::min);
+                base.position = position;
+            }
+            Some(_) => {}
         }
-        base.generation = generation;
-        base.total = total;
-        base.member = member;
-        base.members = members;
     }
 
-    /// Notes that every member has `generation` or a later one in force.
-    pub fn confirm(&mut self, now: BootTime, generation: Generation) {
-        let wait = self.options.term + self.options.margin * 2;
-        let Some(base) = &mut self.base else {
-            return;
-        };
-        if generation >= base.generation && base.pending.is_some() && base.raise_at.is_none() {
-            base.raise_at = Some(now + wait);
+    /// Raises the base share if it waited for a generation that has settled by now.
+    pub fn raise(&mut self, settled: Generation) {
+        if let Some(base) = &mut self.base {
+            base.share.settle(settled);
         }
     }
 
@@ -335,20 +345,17 @@
 
     fn own_held(&self) -> u32 {
         match &self.base {
-            Some(base) if self.active => base.effective.saturating_sub(self.lent_count()),
+            Some(base) if self.active => {
+                let effective = base.share.effective;
+                effective.saturating_sub(self.lent_count())
+            }
             _ => 0,
         }
     }
 
     fn settle(&mut self, now: BootTime) {
         let idle = self.borrowed.is_empty() && self.lent.is_empty();
-        let settled = idle && self.pending.is_empty() && self.accepted.is_empty();
-        if settled
-            && self
-                .base
-                .as_ref()
-                .is_none_or(|base| base.raise_at.is_none())
-        {
+        if idle && self.pending.is_empty() && self.accepted.is_empty() {
             return;
         }
         self.borrowed.retain(|_, loan| loan.expires_at > now);
@@ -356,33 +363,9 @@
         let term = self.options.term;
         self.pending.retain(|_, asked_at| *asked_at + term > now);
         self.accepted.retain(|_, expires_at| *expires_at > now);
-        let Some(base) = &mut self.base else {
-            return;
-        };
-        if base.raise_at.is_some_and(|at| at <= now) {
-            base.raise_at = None;
-            base.effective = base.pending.take().unwrap_or(base.effective);
-        }
     }
 }
 
-fn slot_share(total: u32, member: MemberId, members: u32) -> u32 {
-    let members = members.max(1);
-    if member >= members {
-        return 0;
-    }
-    total / members + u32::from(member < total % members)
-}
-
-/// Computes a member's base share of `total` slots whose remainder starts at a member that the
-/// quota's name picks, so that small targets do not all favour the first member.
-pub fn rotated_member(key: &str, member: MemberId, members: u32) -> MemberId {
-    let members = members.max(1);
-    let offset = fighall_core::rendezvous::weight(key, "") % u64::from(members);
-    let offset = u32::try_from(offset).unwrap_or(0);
-    (member + offset) % members
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -391,7 +374,8 @@
 
     fn ledger(host: &str, total: u32, member: MemberId, members: u32) -> SlotLedger {
         let mut ledger = SlotLedger::new(RateOptions::with_term(SECOND * 10), host, 1);
-        ledger.set_base(Duration::ZERO, 1, total, member, members);
+        let position = SlotPosition { member, members };
+        ledger.set_base(Duration::ZERO, 1, total, position, ShareStart::AtOnce);
         ledger.activate();
         ledger
     }
@@ -419,13 +403,25 @@
         let mut old = ledger("a", 2, 0, 2);
         let ticket = old.occupy(SECOND, SECOND * 2).unwrap();
         let mut new = SlotLedger::new(RateOptions::with_term(SECOND * 10), "a", 2);
-        new.set_base(Duration::ZERO, 1, 2, 1, 2);
+        let position = SlotPosition {
+            member: 1,
+            members: 2,
+        };
+        new.set_base(Duration::ZERO, 1, 2, position, ShareStart::AtOnce);
         new.activate();
         assert!(new.occupy(SECOND, SECOND * 2).is_some());
         new.release(ticket);
         assert!(new.occupy(SECOND, SECOND * 2).is_none());
     }
 
+    #[test]
+    fn positions_share_all_slots_and_none_beyond_them() {
+        for total in 0..20 {
+            let shares = (0..9).map(|member| SlotPosition::with_name("t", member, 3).share(total));
+            assert_eq!(shares.sum::<u32>(), total);
+        }
+    }
+
     #[test]
     fn a_member_that_was_moved_gets_no_slot() {
         let mut ledger = ledger("a", 9, 0, 3);
--- a/crates/quota/tests/conservation.rs
+++ b/crates/quota/tests/conservation.rs
@@ -187,11 +187,25 @@
                         spend_all(&mut fleet, host, &mut [&mut check]);
                     }
                 }
-                // The change reaches the hosts one after another.
-                if step >= 200 && step % 20 == 0 && step / 20 - 10 < HOSTS {
+                // The change reaches the hosts one after another, and one of them late.
+                let restarts = seed % 4 > 1;
+                let late = restarts && step < 1_200;
+                let reached = if late { HOSTS - 1 } else { HOSTS };
+                if step >= 200 && step % 20 == 0 && step / 20 - 10 < reached {
                     fleet.apply(step / 20 - 10, 2, new, 9);
                 }
-                fleet.confirm();
+                if step == 1_200 {
+                    fleet.apply(HOSTS - 1, 2, new, 9);
+                }
+                // A host that starts has no earlier generation than was accepted by then.
+                if restarts && late && rng.u32(0..100) == 0 {
+                    let host = rng.usize(0..HOSTS - 1);
+                    if step < 200 {
+                        fleet.restart(host, old, 9, 1);
+                    } else {
+                        fleet.restart(host, new, 9, 2);
+                    }
+                }
             }
             // All have the change, and every loan of the old generation has ended.
             fleet.faults.loss_percent = 0;
@@ -332,16 +346,85 @@
         .filter(|host| rate_at(&mut fleet, *host) == 0)
         .collect();
     assert_eq!(idle.len(), 6);
-    fleet.apply_all(2, new, 9);
+    for host in 1..HOSTS {
+        fleet.apply(host, 2, new, 9);
+    }
     fleet.step(ms(5_000));
     let raised = |fleet: &mut FakeFleet| {
         let rates = idle.iter().map(|host| rate_at(fleet, *host));
         rates.filter(|rate| *rate > 0).count()
     };
     assert_eq!(raised(&mut fleet), 0);
-    fleet.confirm();
+    fleet.apply(0, 2, new, 9);
+    fleet.step(ms(1));
     fleet.step(term);
     assert_eq!(raised(&mut fleet), 0);
     fleet.step(ms(200));
     assert_eq!(raised(&mut fleet), 1);
 }
+
+#[test]
+fn restarts_amid_a_change_never_exceed_the_larger_limit() {
+    let old = QuotaLimit::new(300, 12);
+    let new = QuotaLimit::new(300, 16);
+    for late in 0..HOSTS {
+        let mut fleet = FakeFleet::new(HOSTS, ms(300), 1);
+        fleet.apply_all(1, old, 9);
+        fleet.step(ms(1));
+        for host in 0..HOSTS {
+            if host != late {
+                fleet.apply(host, 2, new, 9);
+            }
+        }
+        let mut check = WindowCheck::new(new, fleet.now);
+        for step in 0..1_000 {
+            let host = step / 100;
+            if step % 100 == 0 && host < HOSTS && host != late {
+                fleet.restart(host, new, 9, 2);
+            }
+            fleet.step(ms(20));
+            for host in 0..HOSTS {
+                spend_all(&mut fleet, host, &mut [&mut check]);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_host_that_starts_amid_a_change_uses_its_share_once_the_change_has_settled() {
+    let old = QuotaLimit::new(300, 12);
+    let new = QuotaLimit::new(300, 16);
+    let term = ms(1_000);
+    let mut fleet = FakeFleet::new(HOSTS, term, 1);
+    fleet.apply_all(1, old, 9);
+    fleet.step(ms(1));
+    for host in 0..HOSTS - 1 {
+        fleet.apply(host, 2, new, 9);
+    }
+    let joiner = (0..HOSTS - 1)
+        .find(|host| {
+            let now = fleet.local(*host);
+            let view = fleet.hosts[*host].book.rate_view(now, &rate_key());
+            view.unwrap().held.rate > 0
+        })
+        .unwrap();
+    let held = |fleet: &mut FakeFleet| {
+        let now = fleet.local(joiner);
+        let view = fleet.hosts[joiner].book.rate_view(now, &rate_key());
+        view.unwrap().held.rate
+    };
+    fleet.restart(joiner, new, 9, 2);
+    // The loans of the last life have ended; the last host does not have the change.
+    fleet.step(ms(10_000));
+    fleet.step(ms(10_000));
+    assert_eq!(held(&mut fleet), 0);
+    fleet.apply(HOSTS - 1, 2, new, 9);
+    fleet.step(ms(1));
+    fleet.step(term * 2);
+    assert_eq!(held(&mut fleet), 75 * TOKEN);
+    // Another that starts later learns from its peers that the change has settled.
+    fleet.restart(joiner, new, 9, 2);
+    fleet.step(ms(10_000));
+    fleet.step(ms(1));
+    assert_eq!(held(&mut fleet), 75 * TOKEN);
+}
--- a/crates/quota/tests/support/mod.rs
+++ b/crates/quota/tests/support/mod.rs
@@ -154,7 +154,8 @@
         let wait = self.options.slots.term + self.options.slots.margin * 2;
         let entry = &mut self.hosts[host];
         entry.incarnation += 1;
-        entry.book = QuotaBook::new(self.options.clone(), &name(host), entry.incarnation);
+        entry.book =
+            QuotaBook::new(self.options.clone(), &name(host), entry.incarnation).with_join();
         entry.activate_at = Some(self.now + wait);
         entry.paused_until = Duration::ZERO;
         entry.dead = false;
@@ -162,12 +163,21 @@
         self.apply(host, generation, limit, slots);
     }
 
-    /// Confirms a generation once all hosts have it.
+    /// Lets the hosts know which generation all have, and what others have found settled. Hosts
+    /// that are cut off learn nothing.
     pub fn confirm(&mut self) {
         let lowest = self.hosts.iter().map(|host| host.generation).min().unwrap();
         for host in 0..self.hosts.len() {
+            if self.hosts[host].cut || !self.runs(host) {
+                continue;
+            }
             let now = self.local(host);
             self.hosts[host].book.confirm(now, lowest);
+            let teacher = self.rng.usize(0..self.hosts.len());
+            if !self.hosts[teacher].cut {
+                let settled = self.hosts[teacher].book.settled();
+                self.hosts[host].book.learn_settled(now, settled);
+            }
         }
     }
 
@@ -185,6 +195,7 @@
             }
         }
         self.deliver();
+        self.confirm();
         let upkeep = self.now >= self.upkeep_at;
         for host in 0..self.hosts.len() {
             if !self.runs(host) {
--- a/crates/testkit/tests/recovery.rs
+++ b/crates/testkit/tests/recovery.rs
@@ -12,7 +12,9 @@
 use fighall_entry::{
     configuration::ConfigService, members::MemberService, names, quotas::QuotaService,
 };
+use fighall_membership::lease::MemberKey;
 use fighall_platform::object::kinds::{HOSTS, POINTERS};
+use fighall_quota::{loan::QuotaKey, slots::SlotPosition};
 use fighall_testkit::{
     cluster::{ClusterError, ClusterPlan, LocalCluster, loopback, organisation, to_json},
     faults::StoreFaults,
@@ -184,7 +186,7 @@
         let member = members.member().unwrap();
         assert!(members.active_member(boot_time()).is_some());
         // Another process writes itself into the lease, as after a hand-over during a pause.
-        let name = fighall_membership::lease::object_name(member);
+        let name = MemberKey::new("lima", member).object_name();
         let mut lease = members
             .leases()
             .into_iter()
@@ -214,7 +216,7 @@
         let members = node.kernel().find::<MemberService>(names::MEMBERS).unwrap();
         let quotas = node.kernel().find::<QuotaService>(names::QUOTAS).unwrap();
         let old = members.member().unwrap();
-        let name = fighall_membership::lease::object_name(old);
+        let name = MemberKey::new("lima", old).object_name();
         let mut lease = members
             .leases()
             .into_iter()
@@ -237,10 +239,7 @@
         assert_ne!(new, old);
         let mut differs = false;
         for target in cluster.targets.keys() {
-            let share = |member| {
-                let member = fighall_quota::slots::rotated_member(target, member, 3);
-                3 + u32::from(member < 1)
-            };
+            let share = |member| SlotPosition::with_name(target, member, 3).share(10);
             assert_eq!(quotas.slots(target).held, share(new), "{target}");
             differs |= share(new) != share(old);
         }
@@ -248,6 +247,86 @@
     });
 }
 
+// What all hosts hold of an organisation's rate and burst, in whole tokens.
+fn held_of(cluster: &LocalCluster, organisation: &str) -> (f64, f64) {
+    let key = QuotaKey::Organisation(organisation.to_owned());
+    let (mut rate, mut capacity) = (0, 0);
+    for node in cluster.nodes.values() {
+        let quotas = node.kernel().find::<QuotaService>(names::QUOTAS).unwrap();
+        for (known, view) in quotas.views() {
+            if known == key {
+                rate += view.held.rate;
+                capacity += view.held.capacity;
+            }
+        }
+    }
+    let tokens = |amount: u64| f64::from(u32::try_from(amount / 1_000).unwrap()) / 1_000.0;
+    (tokens(rate), tokens(capacity))
+}
+
+fn held_slots(cluster: &LocalCluster, target: &str) -> u32 {
+    let nodes = cluster.nodes.values();
+    let held = nodes.map(|node| {
+        let quotas = node.kernel().find::<QuotaService>(names::QUOTAS).unwrap();
+        quotas.slots(target).held
+    });
+    held.sum()
+}
+
+async fn watch_shares(cluster: &LocalCluster, time: Duration, rate: f64, burst: f64) {
+    let until = boot_time() + time;
+    while boot_time() < until {
+        let held = held_of(cluster, "andes");
+        assert!(held.0 <= rate && held.1 <= burst, "{held:?}");
+        for target in cluster.targets.keys() {
+            let slots = held_slots(cluster, target);
+            assert!(slots <= cluster.plan.slots, "{target}: {slots} slots");
+        }
+        compio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[test]
+fn a_region_that_grows_leaves_every_sum_of_shares_within_its_limit() {
+    run(async {
+        let plan = with_rates(pair(), &[("andes", 300, 60)]);
+        let mut cluster = LocalCluster::start(plan).await.unwrap();
+        watch_shares(&cluster, SECOND, 300.0, 60.0).await;
+        let mut fleet = cluster.fleet_document();
+        fleet.regions[0].members += 1;
+        let documents = vec![ConfigDocument::Fleet(fleet)];
+        cluster.publish(documents).await.unwrap();
+        watch_shares(&cluster, SECOND, 300.0, 60.0).await;
+        cluster.start_host("lima-3", "lima", 3).await.unwrap();
+        watch_shares(&cluster, SECOND * 9, 300.0, 60.0).await;
+        // All raises have settled: nothing of any quota is lost.
+        assert_eq!(held_of(&cluster, "andes"), (300.0, 60.0));
+        for target in cluster.targets.keys() {
+            assert_eq!(held_slots(&cluster, target), cluster.plan.slots);
+        }
+    });
+}
+
+#[test]
+fn hosts_replaced_amid_a_change_of_holders_leave_the_sum_within_the_larger_limit() {
+    run(async {
+        // Twelve tokens are held by three of six members, twenty by five.
+        let plan = with_rates(pair(), &[("andes", 300, 12)]);
+        let mut cluster = LocalCluster::start(plan).await.unwrap();
+        assert_eq!(held_of(&cluster, "andes"), (300.0, 12.0));
+        cluster.plan.organisations[0].burst = 20;
+        cluster.publish_all().await.unwrap();
+        for (region, index) in [("lima", 0), ("arequipa", 1)] {
+            let name = format!("{region}-{index}");
+            cluster.stop_host(&name).await;
+            cluster.start_host(&name, region, index).await.unwrap();
+            watch_shares(&cluster, SECOND * 3, 300.0, 20.0).await;
+        }
+        watch_shares(&cluster, SECOND * 9, 300.0, 20.0).await;
+        assert_eq!(held_of(&cluster, "andes"), (300.0, 20.0));
+    });
+}
+
 #[test]
 fn two_spare_hosts_that_want_one_id_do_not_both_get_it() {
     run(async {
