Put distance between the regions in tests, and cut and kill whole ones

Cause: nothing tried a region cut off from the others, a region killed under load, or all hosts killed at once; delays between regions were in virtual tests of the quota alone.

Change: the testkit's network stand-in relays what hosts of different regions say to each other with a delay, and cuts regions off. Hosts connect from an address that their settings may name (`source`), which is how a relay knows both ends, and serves hosts with several addresses.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -88,7 +88,10 @@
         kernel.register(names::EVENTS, Rc::clone(&ring))?;
         kernel.register(names::METRICS, Rc::new(EntryMetrics::new()?))?;
         kernel.register(names::STORE, Rc::new(new_store(&settings)?))?;
-        kernel.register(names::POOL, Rc::new(ConnectionPool::new()))?;
+        kernel.register(
+            names::POOL,
+            Rc::new(ConnectionPool::new().with_source(settings.source)),
+        )?;
         let mesh = PeerMesh::new(
             mesh_options(&settings, &identity),
             Rc::clone(&kernel),
@@ -382,6 +385,7 @@
     let mut options = MeshOptions::with_host(&identity.host, identity.incarnation, secret);
     options.region = identity.region.clone();
     options.zone = identity.zone.clone();
+    options.source = settings.source;
     options.heartbeat = settings.heartbeat;
     options.silence = settings.silence;
     options
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -5,13 +5,14 @@
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use fighall_core::{clock::boot_time, ids::BootTime, value};
+use fighall_peer::socket::connect;
 use hyper::client::conn::http1::{self, SendRequest};
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
@@ -113,6 +114,7 @@
 /// `ConnectionPool` keeps idle connections by address.
 #[derive(Default)]
 pub struct ConnectionPool {
+    source: Option<IpAddr>,
     addresses: RefCell<BTreeMap<SocketAddr, AddressPool>>,
 }
 
@@ -123,11 +125,17 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool.
+    /// Creates an empty pool whose connections come from the address that the system picks.
     pub fn new() -> Self {
         Self::default()
     }
 
+    /// Sets the address that connections come from.
+    pub fn with_source(mut self, source: Option<IpAddr>) -> Self {
+        self.source = source;
+        self
+    }
+
     /// Takes an idle connection that is fresh enough, or opens one.
     ///
     /// # Errors
@@ -152,7 +160,7 @@
             }
         }
         let count = self.count_in(address, need.limit)?;
-        let opened = compio::time::timeout(CONNECT_LIMIT, open(address)).await;
+        let opened = compio::time::timeout(CONNECT_LIMIT, open(address, self.source)).await;
         let sender = opened.map_err(|_| ConnectError::Timeout { address })??;
         Ok(PooledConnection {
             address,
@@ -236,9 +244,12 @@
     }
 }
 
-async fn open(address: SocketAddr) -> Result<SendRequest<UpstreamBody>, ConnectError> {
+async fn open(
+    address: SocketAddr,
+    source: Option<IpAddr>,
+) -> Result<SendRequest<UpstreamBody>, ConnectError> {
     let refused = |cause: String| ConnectError::Refused { address, cause };
-    let stream = TcpStream::connect(address)
+    let stream = connect(address, source)
         .await
         .map_err(|error| refused(error.to_string()))?;
     set_options(&stream).map_err(|error| refused(error.to_string()))?;
@@ -255,7 +266,6 @@
 }
 
 fn set_options(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
     let descriptor = stream.to_poll_fd()?;
     let socket = SockRef::from(&descriptor);
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -39,6 +39,11 @@
             "",
             "IP address that others reach this host at; by default that of each address above",
         ),
+        FieldSpec::text_or(
+            "source",
+            "",
+            "IP address that links and requests go out from; by default the system picks it",
+        ),
         FieldSpec::texts("store", "Addresses of the platform's store, as IP and port"),
         FieldSpec::texts(
             "seeds",
@@ -133,6 +138,8 @@
         pub operators: SocketAddr,
         /// IP address to advertise.
         pub advertise: Option<IpAddr>,
+        /// IP address that links and requests go out from.
+        pub source: Option<IpAddr>,
         /// Addresses of the store.
         pub store: Vec<String>,
         /// Addresses of other hosts' links.
@@ -175,6 +182,7 @@
             forwards: loopback,
             operators: loopback,
             advertise: None,
+            source: None,
             store: vec![store.to_owned()],
             seeds: Vec::new(),
             fleet_secret: SecretText::new("local-fleet".to_owned()),
@@ -221,11 +229,9 @@
         let host = reader.name("host");
         let region = reader.name("region");
         let zone = reader.name("zone");
-        let advertise = if reader.has("advertise") {
-            reader.parsed("advertise")
-        } else {
-            None
-        };
+        let optional = |name: &str| reader.has(name).then(|| reader.parsed(name)).flatten();
+        let advertise: Option<IpAddr> = optional("advertise");
+        let source: Option<IpAddr> = optional("source");
         let store = read_addresses(reader, "store");
         if store.is_empty() {
             reader.report("store", "`store` needs at least one address");
@@ -265,6 +271,7 @@
             forwards: forwards?,
             operators: operators?,
             advertise,
+            source,
             store,
             seeds,
             fleet_secret: fleet_secret?,
--- a/crates/peer/src/dial.rs
+++ b/crates/peer/src/dial.rs
@@ -7,9 +7,9 @@
     message::{LinkAck, LinkChallenge, LinkHello, LinkWelcome, PeerMessage},
     outbox::PeerOutbox,
     proof,
+    socket::connect,
     view::LinkState,
 };
-use compio::net::TcpStream;
 use fighall_core::{
     clock::boot_time,
     ids::{BootTime, HostId, Incarnation},
@@ -76,10 +76,10 @@
 async fn open_unbounded(mesh: &PeerMesh, host: &str) -> Result<(MessageLink, LinkWelcome)> {
     let options = &mesh.options;
     let peer = mesh.address_of(host).ok_or(Error::Closed)?;
-    let tcp = TcpStream::connect(peer.address.as_str())
+    let address = peer.address.parse().map_err(Error::link)?;
+    let tcp = connect(address, options.source)
         .await
         .map_err(Error::link)?;
-    tcp.set_nodelay(true).map_err(Error::link)?;
     let mut link = MessageLink::new_dialled(tcp).await?;
     let challenge: LinkChallenge = link.receive().await?;
     let nonce = proof::new_nonce().map_err(Error::link)?;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod message;
 pub mod outbox;
 pub mod proof;
+pub mod socket;
 pub mod view;
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -20,6 +20,7 @@
 use std::{
     cell::RefCell,
     collections::{BTreeMap, VecDeque},
+    net::IpAddr,
     rc::Rc,
     time::Duration,
 };
@@ -35,6 +36,8 @@
         pub region: RegionId,
         /// Its availability zone.
         pub zone: ZoneId,
+        /// Address that links are dialled from; by default the system picks it.
+        pub source: Option<IpAddr>,
         /// The fleet's secret.
         pub secret: SecretText,
         /// Interval of heartbeats.
@@ -56,6 +59,7 @@
             incarnation,
             region: String::new(),
             zone: String::new(),
+            source: None,
             secret,
             heartbeat: Duration::from_millis(300),
             silence: Duration::from_millis(1_500),
--- /dev/null
+++ b/crates/peer/src/socket.rs
@@ -0,0 +1,30 @@
+//! Connections from an address of this host that the settings name.
+
+use compio::net::{TcpSocket, TcpStream};
+use std::{
+    io::Result,
+    net::{IpAddr, SocketAddr},
+};
+
+/// Opens a connection without delayed sending, from `source` or from the address that the system
+/// picks.
+///
+/// # Errors
+///
+/// Returns the error of binding or connecting.
+pub async fn connect(address: SocketAddr, source: Option<IpAddr>) -> Result<TcpStream> {
+    let stream = match source {
+        None => TcpStream::connect(address).await?,
+        Some(source) => {
+            let socket = if address.is_ipv4() {
+                TcpSocket::new_v4().await?
+            } else {
+                TcpSocket::new_v6().await?
+            };
+            socket.bind(SocketAddr::new(source, 0)).await?;
+            socket.connect(address).await?
+        }
+    };
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -1,7 +1,10 @@
 //! Entry hosts, targets and the store of a deployment in one process, on loopback.
 
 use crate::{
-    behaviour::TargetBehaviour, caller::FleetCaller, platform::PlatformStandIn,
+    behaviour::TargetBehaviour,
+    caller::FleetCaller,
+    network::{NetworkDelays, NetworkStandIn},
+    platform::PlatformStandIn,
     target::TargetStandIn,
 };
 use fighall_config::{
@@ -87,6 +90,8 @@
         pub lease_ms: u64,
         /// Loan time of slots in milliseconds.
         pub slot_loan_ms: u64,
+        /// Delays of the network; without them hosts talk directly.
+        pub delays: Option<NetworkDelays>,
     }
 }
 
@@ -107,6 +112,7 @@
             lookup_ttl_ms: 500,
             lease_ms: 2_000,
             slot_loan_ms: 5_000,
+            delays: None,
         }
     }
 }
@@ -141,6 +147,8 @@
     pub keys: BTreeMap<String, String>,
     /// A client of the store, for operators' work.
     pub store: StoreClient,
+    /// The network, where the plan has delays.
+    pub network: Option<Rc<NetworkStandIn>>,
 }
 
 impl LocalCluster {
@@ -185,7 +193,9 @@
     pub fn with_platform(plan: ClusterPlan, platform: PlatformStandIn) -> Result<Self> {
         let address = platform.address().to_string();
         let store = StoreClient::new(ClientOptions::with_long_patience(address))?;
+        let delays = plan.delays;
         Ok(Self {
+            network: delays.map(|delays| NetworkStandIn::new(&plan.regions, delays)),
             plan,
             platform,
             targets: BTreeMap::new(),
@@ -219,23 +229,59 @@
     /// Returns an error when it cannot start.
     pub async fn start_host(&mut self, name: &str, region: &str, index: u32) -> Result<()> {
         let zone = zone_name(region, index);
-        let store = self.platform.address().to_string();
+        let store = self.store_address(region).await?;
         let mut settings = EntrySettings::with_host(name, region, &zone, &store);
         let nodes = self.nodes.values();
         settings.seeds = nodes
             .map(|node| node.identity().peer_address.clone())
             .collect();
+        if let Some(network) = &self.network {
+            settings.source = Some(network.source(region));
+            settings.advertise = Some(network.advertised(region));
+        }
         let node = EntryNode::start(settings, quiet_logger()).await?;
+        self.relay_host(region, &node).await?;
         self.list_host(name, HostState::Live, &node.identity().peer_address);
         self.nodes.insert(name.to_owned(), node);
         Ok(())
     }
 
+    // The store lies in the first region.
+    async fn store_address(&self, region: &str) -> Result<String> {
+        let address = self.platform.address();
+        let (Some(network), Some(home)) = (&self.network, self.plan.regions.first()) else {
+            return Ok(address.to_string());
+        };
+        let relay = network.relay_from(region, home, address).await?;
+        Ok(relay.to_string())
+    }
+
+    async fn relay_host(&self, region: &str, node: &EntryNode) -> Result<()> {
+        let Some(network) = &self.network else {
+            return Ok(());
+        };
+        for advertised in relayed_addresses(node) {
+            let bound = SocketAddr::new(loopback().ip(), advertised.port());
+            network.relay_host(region, bound).await?;
+        }
+        Ok(())
+    }
+
+    fn close_relays(&self, node: &EntryNode) {
+        let Some(network) = &self.network else {
+            return;
+        };
+        for advertised in relayed_addresses(node) {
+            network.close_host(advertised);
+        }
+    }
+
     /// Stops a host as planned and takes it off the platform's list.
     pub async fn stop_host(&mut self, name: &str) {
         if let Some(node) = self.nodes.remove(name) {
             self.list_host(name, HostState::Leaving, "");
             node.stop().await;
+            self.close_relays(&node);
             self.platform.delete(HOSTS, name);
         }
     }
@@ -244,6 +290,7 @@
     pub fn kill_host(&mut self, name: &str) {
         if let Some(node) = self.nodes.remove(name) {
             node.kill();
+            self.close_relays(&node);
         }
     }
 
@@ -431,6 +478,19 @@
     }
 }
 
+fn relayed_addresses(node: &EntryNode) -> Vec<SocketAddr> {
+    let identity = node.identity();
+    let addresses = [
+        &identity.caller_address,
+        &identity.peer_address,
+        &identity.forward_address,
+    ];
+    let addresses = addresses.into_iter();
+    addresses
+        .filter_map(|address| address.parse().ok())
+        .collect()
+}
+
 fn route(path: &str, open: bool, deadline_ms: u64) -> ServiceRoute {
     ServiceRoute {
         path: path.to_owned(),
--- a/crates/testkit/tests/recovery.rs
+++ b/crates/testkit/tests/recovery.rs
@@ -14,7 +14,7 @@
 };
 use fighall_membership::lease::MemberKey;
 use fighall_platform::object::kinds::{HOSTS, POINTERS};
-use fighall_quota::{loan::QuotaKey, slots::SlotPosition};
+use fighall_quota::slots::SlotPosition;
 use fighall_testkit::{
     cluster::{ClusterError, ClusterPlan, LocalCluster, loopback, organisation, to_json},
     faults::StoreFaults,
@@ -22,7 +22,7 @@
     platform::PlatformStandIn,
 };
 use std::{rc::Rc, time::Duration};
-use support::{pair, records, run, small, stream, with_rates};
+use support::{held_of, pair, records, run, small, stream, with_rates};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -247,23 +247,6 @@
     });
 }
 
-// What all hosts hold of an organisation's rate and burst, in whole tokens.
-fn held_of(cluster: &LocalCluster, organisation: &str) -> (f64, f64) {
-    let key = QuotaKey::Organisation(organisation.to_owned());
-    let (mut rate, mut capacity) = (0, 0);
-    for node in cluster.nodes.values() {
-        let quotas = node.kernel().find::<QuotaService>(names::QUOTAS).unwrap();
-        for (known, view) in quotas.views() {
-            if known == key {
-                rate += view.held.rate;
-                capacity += view.held.capacity;
-            }
-        }
-    }
-    let tokens = |amount: u64| f64::from(u32::try_from(amount / 1_000).unwrap()) / 1_000.0;
-    (tokens(rate), tokens(capacity))
-}
-
 fn held_slots(cluster: &LocalCluster, target: &str) -> u32 {
     let nodes = cluster.nodes.values();
     let held = nodes.map(|node| {
--- a/crates/testkit/tests/support/mod.rs
+++ b/crates/testkit/tests/support/mod.rs
@@ -89,3 +89,23 @@
     }
     sum
 }
+
+/// What all hosts hold of an organisation's rate and burst, in whole tokens.
+pub fn held_of(cluster: &LocalCluster, organisation: &str) -> (f64, f64) {
+    let key = fighall_quota::loan::QuotaKey::Organisation(organisation.to_owned());
+    let (mut rate, mut capacity) = (0, 0);
+    for node in cluster.nodes.values() {
+        let quotas = node
+            .kernel()
+            .find::<fighall_entry::quotas::QuotaService>(fighall_entry::names::QUOTAS)
+            .unwrap();
+        for (known, view) in quotas.views() {
+            if known == key {
+                rate += view.held.rate;
+                capacity += view.held.capacity;
+            }
+        }
+    }
+    let tokens = |amount: u64| f64::from(u32::try_from(amount / 1_000).unwrap()) / 1_000.0;
+    (tokens(rate), tokens(capacity))
+}
