Wait longer for organisations within their rate, visit only quotas in use, and order hosts by region

Cause: over the users' distances, whole bursts of the smallest organisations were refused (1 to 4 of 20 requests in 10 s): the early refusal and the wait of 250 ms judge by an estimate that takes every burst for excess. Ruled out: the pause between rounds of asking (with and without backing off), and the delay of loans alone (one round trip of 70 ms).

Change: demand is also estimated with bursts smoothed out (10 s); an organisation within its rate by that waits four times as long and is never refused early. Rounds of asking that bring nothing back off up to the time of one token. Only quotas with demand, waiting requests or loans are visited. Look-ups rank the hosts of a region from a directory that is renewed every 200 ms, 16 hosts at most. fighall-ctl status shows the worst-served organisation first. The bench runs both users with their delays, and its deployments end after their row: earlier ones had slowed later rows down.

An organisation above its rate waits up to 1 s in its first seconds.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -7,6 +7,7 @@
 mod blocks;
 mod caches;
 mod decision;
+mod lookups;
 mod memory;
 mod overload;
 mod path;
@@ -33,6 +34,7 @@
         .subcommand(Command::new("blocks").about("The table of client blocks, by size"))
         .subcommand(Command::new("caches").about("Targets' caches under several placements"))
         .subcommand(Command::new("decision").about("Admission and placement of one request"))
+        .subcommand(Command::new("lookups").about("Answers to look-ups, by the size of the fleet"))
         .subcommand(Command::new("shares").about("Shares: memory by quota, time by transfer"))
         .subcommand(Command::new("peers").about("Messages between hosts: bytes and time by size"))
         .subcommand(
@@ -48,7 +50,14 @@
         .subcommand(
             Command::new("policy")
                 .about("The users' measures at both their sizes, beside baseline policies")
-                .arg(seconds("10")),
+                .arg(seconds("10"))
+                .arg(
+                    Arg::new("only")
+                        .long("only")
+                        .value_name("TEXT")
+                        .default_value("")
+                        .help("Runs only the rows whose user and policy contain the text"),
+                ),
         )
 }
 
@@ -62,11 +71,15 @@
         "blocks" => blocks::run(),
         "caches" => caches::run(),
         "decision" => decision::run(),
+        "lookups" => lookups::run(),
         "shares" => shares::run(),
         "peers" => peers::run(),
         "path" => path::run(seconds()),
         "overload" => overload::run(seconds()),
-        "policy" => policy::run(seconds()),
+        "policy" => {
+            let only = arguments.get_one::<String>("only");
+            policy::run(seconds(), only.map_or("", String::as_str));
+        }
         _ => return ExitCode::FAILURE,
     }
     ExitCode::SUCCESS
--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -1,9 +1,12 @@
-//! The users' measures at both their sizes, with the baseline beside it in the same run: rates
-//! split statically and targets drawn at random. Delays between regions are not part of it.
+//! The users' measures at both their sizes and delays, with baselines beside them in the same run:
+//! rates split statically, targets drawn at random, and the least loaded target of all. All callers
+//! are near one region, whose targets cannot take them alone.
 
+use crate::memory::{processor_time, ratio};
 use fighall_config::commands::{DrainScope, OperatorCommand};
 use fighall_core::clock::{boot_time, wall_millis};
 use fighall_entry::{
+    metrics::EntryMetrics,
     names,
     quotas::{LendingPolicy, QuotaService},
     targets::TargetService,
@@ -14,6 +17,7 @@
     behaviour::TargetBehaviour,
     cluster::{ClusterPlan, LocalCluster, SERVICE, SERVICE_HOST, organisation},
     load::{LoadStream, run as run_load},
+    network::NetworkDelays,
     report::LoadReport,
 };
 use std::time::Duration;
@@ -23,8 +27,8 @@
     regions: [&'static str; 3],
     targets: u32,
     slots: u32,
-    service_us: u64,
     probe_us: u64,
+    delays: NetworkDelays,
 }
 
 const USERS: [UserSize; 2] = [
@@ -33,20 +37,23 @@
         regions: ["lima", "arequipa", "iquitos"],
         targets: 9,
         slots: 8,
-        service_us: 20_000,
         probe_us: 1_000,
+        delays: delays(20, 1),
     },
     UserSize {
         name: "Norrvatten",
         regions: ["norr", "mitt", "syd"],
         targets: 9,
         slots: 9,
-        service_us: 20_000,
         probe_us: 6_000,
+        delays: delays(35, 8),
     },
 ];
+/// Service time of a target in microseconds: the offered load needs a few more slots than one
+/// region has.
+const SERVICE_US: u64 = 400_000;
 /// Rates of the organisations, in requests a second: a few are large.
-const RATES: [u32; 8] = [160, 120, 80, 20, 16, 12, 8, 4];
+const RATES: [u32; 8] = [80, 60, 40, 10, 8, 6, 4, 2];
 /// Part of its rate that each offers; the last but two offers a multiple.
 const OFFERED: [f64; 8] = [0.9, 0.9, 0.9, 0.9, 0.9, 6.0, 0.9, 0.9];
 /// Requests that an organisation sends at once.
@@ -54,21 +61,33 @@
 /// Time in which every bucket is full again after the warm-up.
 const REFILL_TIME: Duration = Duration::from_secs(2);
 
-pub(crate) fn run(seconds: u64) {
+const fn delays(regions_ms: u64, callers_ms: u64) -> NetworkDelays {
+    NetworkDelays {
+        zones: Duration::from_millis(1),
+        regions: Duration::from_millis(regions_ms),
+        callers: Duration::from_millis(callers_ms),
+    }
+}
+
+pub(crate) fn run(seconds: u64, only: &str) {
     let Ok(runtime) = compio::runtime::Runtime::new() else {
         return;
     };
     runtime.block_on(async {
         println!(
-            "user          policy          p50 ms  p99 ms  worst-served %  refused within rate  drain ms  most busy/slots"
+            "user          policy          p50 ms  p99 ms  worst-served %  refused within rate  drain ms  most busy/slots  cpu %  loan messages/s"
         );
         for user in &USERS {
             for (label, lending, placement) in [
                 ("fighall", LendingPolicy::Loans, PlacementPolicy::TwoChoices),
                 ("static split", LendingPolicy::Static, PlacementPolicy::TwoChoices),
                 ("random target", LendingPolicy::Loans, PlacementPolicy::Random),
+                ("least loaded", LendingPolicy::Loans, PlacementPolicy::LeastLoaded),
                 ("both baselines", LendingPolicy::Static, PlacementPolicy::Random),
             ] {
+                if !format!("{} {label}", user.name).contains(only) {
+                    continue;
+                }
                 let time = Duration::from_secs(seconds);
                 match one_run(user, lending, placement, time).await {
                     Some(row) => println!("{:<13} {label:<15} {row}", user.name),
@@ -96,6 +115,8 @@
     let entries = cluster.entries();
     run_load(&streams, &entries, time / 5).await;
     compio::time::sleep(REFILL_TIME).await;
+    let processor = processor_time();
+    let messages = loan_messages(&cluster);
     let load = {
         let streams = streams.clone();
         let entries = entries.clone();
@@ -104,7 +125,26 @@
     compio::time::sleep(time / 2).await;
     let drain = drain_time(&cluster, &format!("{}-t0", user.regions[0])).await;
     let report = load.await.ok()?;
-    Some(row(&cluster, user, &report, drain))
+    let processor = processor_time() - processor;
+    let messages = loan_messages(&cluster) - messages;
+    let row = row(&cluster, user, &report, drain);
+    cluster.shut_down();
+    let seconds = time.as_secs_f64();
+    let busy = processor.as_secs_f64() * 100.0 / seconds;
+    Some(format!(
+        "{row} {busy:>6.0} {:>16.0}",
+        ratio(messages, 1) / seconds
+    ))
+}
+
+fn loan_messages(cluster: &LocalCluster) -> u64 {
+    let mut sum = 0;
+    for node in cluster.nodes.values() {
+        if let Ok(metrics) = node.kernel().find::<EntryMetrics>(names::METRICS) {
+            sum += metrics.loan_messages.get();
+        }
+    }
+    sum
 }
 
 fn plan(user: &UserSize) -> ClusterPlan {
@@ -123,10 +163,11 @@
         slots: user.slots,
         organisations,
         behaviour: TargetBehaviour {
-            service_us: user.service_us,
+            service_us: SERVICE_US,
             probe_us: user.probe_us,
             ..TargetBehaviour::default()
         },
+        delays: Some(user.delays),
         ..ClusterPlan::default()
     }
 }
@@ -199,7 +240,10 @@
         }
         all.merge(stream);
         within += stream.refused_total();
-        let served = crate::memory::ratio(stream.answered * 100, stream.sent);
+        for (reason, count) in &stream.refused {
+            println!("{} of {}: {count} {reason}", stream.name, stream.sent);
+        }
+        let served = ratio(stream.answered * 100, stream.sent);
         worst = worst.min(served);
     }
     let most = cluster
@@ -211,8 +255,8 @@
     let latency = all.latency();
     format!(
         "{:>6.1} {:>7.1} {worst:>15.1} {within:>20} {:>9} {:>10}/{}",
-        crate::memory::ratio(latency.p50, 1_000),
-        crate::memory::ratio(latency.p99, 1_000),
+        ratio(latency.p50, 1_000),
+        ratio(latency.p99, 1_000),
         drain.as_millis(),
         most,
         user.slots
--- a/crates/bench/src/shares.rs
+++ b/crates/bench/src/shares.rs
@@ -14,20 +14,21 @@
 const TRANSFERS: u32 = 20_000;
 
 pub(crate) fn run() {
-    println!("quotas    B/quota  us/upkeep of all  ns/quota of upkeep");
+    println!("quotas    B/quota  us/upkeep, idle  us/upkeep, in use  ns/quota in use");
     for size in SIZES {
         let before = resident();
         let mut book = new_book("host-a", 0, size);
         let bytes = resident().saturating_sub(before);
-        let started = Instant::now();
         let now = Duration::from_secs(1);
-        book.asks(now, &["host-b".to_owned()], |_, _| true);
-        book.upkeep(now);
-        let micros = started.elapsed().as_secs_f64() * 1e6;
+        let idle = time_upkeep(&mut book, now);
+        for index in 0..size {
+            book.note_demand(now, &key(index), TOKEN);
+        }
+        let used = time_upkeep(&mut book, now);
         println!(
-            "{size:>7} {:>9.0} {micros:>17.0} {:>19.0}",
+            "{size:>7} {:>9.0} {idle:>16.0} {used:>18.0} {:>16.0}",
             ratio(bytes, u64::from(size)),
-            micros * 1e3 / f64::from(size)
+            used * 1e3 / f64::from(size)
         );
     }
     let (nanos, bytes) = time_transfers();
@@ -36,6 +37,14 @@
     );
 }
 
+// Gets the microseconds that one round of asking and upkeep takes.
+fn time_upkeep(book: &mut QuotaBook, now: Duration) -> f64 {
+    let started = Instant::now();
+    book.asks(now, &["host-b".to_owned()], |_, _| true);
+    book.upkeep(now);
+    started.elapsed().as_secs_f64() * 1e6
+}
+
 fn key(index: u32) -> QuotaKey {
     QuotaKey::Organisation(format!("organisation-{index}"))
 }
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -1,6 +1,7 @@
 //! Rendezvous hashing (Thaler and Ravishankar, 1998): picks members of a set by a key, so that
 //! each change of the set moves only the keys that it must.
 
+use std::cmp::Reverse;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Gets the weight of `candidate` for `key`; the candidate with the largest weight wins.
@@ -12,14 +13,50 @@
 pub fn rank<T>(key: &str, candidates: &mut [T], name: impl Fn(&T) -> String) {
     candidates.sort_by_cached_key(|candidate| {
         let name = name(candidate);
-        (std::cmp::Reverse(weight(key, &name)), name)
+        (Reverse(weight(key, &name)), name)
     });
 }
 
+/// Gets the `count` candidates with the largest weights for `key`, the winner first, in time that
+/// is linear in the candidates.
+pub fn top<'c, T>(
+    key: &str,
+    candidates: &'c [T],
+    count: usize,
+    name: impl Fn(&T) -> &str,
+) -> Vec<&'c T> {
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    let mut weighed: Vec<(Reverse<u64>, &str, &T)> = Vec::with_capacity(candidates.len());
+    for candidate in candidates {
+        let name = name(candidate);
+        let weight = xxh3_64_with_seed(name.as_bytes(), seed);
+        weighed.push((Reverse(weight), name, candidate));
+    }
+    let order = |row: &(Reverse<u64>, &'c str, &'c T)| (row.0, row.1);
+    if count < weighed.len() {
+        weighed.select_nth_unstable_by_key(count, order);
+        weighed.truncate(count);
+    }
+    weighed.sort_unstable_by_key(order);
+    weighed.into_iter().map(|row| row.2).collect()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[test]
+    fn the_top_is_the_start_of_the_ranking() {
+        for key in 0..100 {
+            let key = format!("key-{key}");
+            let mut all: Vec<_> = (0..20).map(|number| format!("host-{number}")).collect();
+            let few = top(&key, &all, 5, String::as_str);
+            let few: Vec<_> = few.into_iter().cloned().collect();
+            rank(&key, &mut all, String::clone);
+            assert_eq!(few, all[..5]);
+        }
+    }
+
     #[test]
     fn removing_a_loser_moves_nothing() {
         for key in 0..100 {
--- a/crates/entry/src/lookups.rs
+++ b/crates/entry/src/lookups.rs
@@ -6,20 +6,31 @@
 };
 use bytes::Bytes;
 use fighall_config::commands::{DrainScope, OperatorCommand};
-use fighall_core::{clock::boot_time, event::RefusalReason, ids::RegionId};
+use fighall_core::{
+    clock::boot_time,
+    event::RefusalReason,
+    ids::{BootTime, RegionId},
+};
 use fighall_kernel::{errors::Result, kernel::MicroKernel, stage::LifeStage};
 use fighall_peer::mesh::PeerMesh;
-use fighall_route::lookup::{HostView, LookupAnswer, order};
+use fighall_route::lookup::{HostDirectory, HostView, LookupAnswer};
 use http::{
     HeaderValue, Response, Uri,
     header::{CACHE_CONTROL, CONTENT_TYPE},
 };
-use std::{net::IpAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::IpAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 /// Path of look-ups.
 pub const LOOKUP_PATH: &str = "/.fighall/hosts";
 /// Age of a peer's last sign beyond which callers are not sent to it.
 const ALIVE: Duration = Duration::from_secs(2);
+/// Time for which the directory of hosts is used.
+const DIRECTORY_TIME: Duration = Duration::from_millis(200);
 /// Lifetime of an answer before there is a configuration.
 const DEFAULT_TTL: Duration = Duration::from_secs(1);
 
@@ -31,6 +42,8 @@
     config: Rc<ConfigService>,
     mesh: Rc<PeerMesh>,
     targets: Rc<TargetService>,
+    directory: RefCell<HostDirectory>,
+    directory_until: Cell<BootTime>,
 }
 
 #[derive(Default)]
@@ -53,6 +66,8 @@
             config: kernel.find(names::CONFIGURATION)?,
             mesh: kernel.find(names::MESH)?,
             targets: kernel.find(names::TARGETS)?,
+            directory: RefCell::new(HostDirectory::default()),
+            directory_until: Cell::new(Duration::ZERO),
         })
     }
 
@@ -97,7 +112,9 @@
         let ttl = config.map_or(DEFAULT_TTL, |config| {
             Duration::from_millis(config.fleet.lookup_ttl_ms)
         });
-        let hosts = order(&self.views(), &region, &query.service, &query.organisation);
+        self.renew_directory();
+        let directory = self.directory.borrow();
+        let hosts = directory.answer(&region, &query.service, &query.organisation);
         LookupAnswer {
             service: query.service.clone(),
             region,
@@ -113,6 +130,14 @@
         region.unwrap_or_else(|| self.identity.region.clone())
     }
 
+    fn renew_directory(&self) {
+        let now = boot_time();
+        if now >= self.directory_until.get() {
+            *self.directory.borrow_mut() = HostDirectory::new(&self.views());
+            self.directory_until.set(now + DIRECTORY_TIME);
+        }
+    }
+
     fn views(&self) -> Vec<HostView> {
         let now = boot_time();
         let drained = self.drained_hosts();
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -53,6 +53,9 @@
     config: Rc<ConfigService>,
     kernel: Rc<MicroKernel>,
     table: RefCell<MemberTable>,
+    // Version of the leases' copy up to which the table has taken changes.
+    taken: Cell<Version>,
+    peers: RefCell<Vec<PeerAddress>>,
     held: RefCell<Option<HeldMember>>,
     proved_at: Cell<BootTime>,
     lease_time: Cell<Duration>,
@@ -81,6 +84,8 @@
             lease_time: Cell::new(options.lease_time),
             table: RefCell::new(MemberTable::new(options, &identity.region, 0)),
             identity,
+            taken: Cell::new(0),
+            peers: RefCell::new(Vec::new()),
             held: RefCell::new(None),
             proved_at: Cell::new(Duration::ZERO),
             changed: Event::new(),
@@ -157,6 +162,15 @@
         self.table.borrow().held().cloned().collect()
     }
 
+    /// Runs `read` over the leases of all held ids without copying them.
+    pub fn with_leases<T>(
+        &self,
+        read: impl FnOnce(&mut dyn Iterator<Item = &MemberLease>) -> T,
+    ) -> T {
+        let table = self.table.borrow();
+        read(&mut table.held())
+    }
+
     /// Gets the time after which the id held was claimed: every change accepted before it must be
     /// known before the base shares are used.
     pub fn claimed_at(&self) -> Option<BootTime> {
@@ -202,7 +216,7 @@
         }
         self.mirrors.with_kind(kinds::MEMBERS, |mirror| {
             let mut table = self.table.borrow_mut();
-            for change in mirror.changes_after(0) {
+            for change in mirror.changes_after(self.taken.get()) {
                 let Some(member) = MemberKey::with_object_name(&change.name) else {
                     continue;
                 };
@@ -215,6 +229,7 @@
                     lease.and_then(|text| serde_json::from_str(text).ok());
                 table.observe(&member, change.version, lease.as_ref());
             }
+            self.taken.set(mirror.version());
             if mirror.age(now).is_some() {
                 table.set_complete();
             }
@@ -249,23 +264,28 @@
 
     fn set_peers(&self) {
         let mut peers = Vec::new();
-        for lease in self.leases() {
-            if lease.host == self.identity.host {
-                continue;
+        self.with_leases(|leases| {
+            for lease in leases {
+                if lease.host == self.identity.host {
+                    continue;
+                }
+                peers.push(PeerAddress {
+                    host: lease.host.clone(),
+                    incarnation: lease.incarnation,
+                    address: lease.peer_address.clone(),
+                    region: lease.region.clone(),
+                    zone: lease.zone.clone(),
+                });
             }
-            peers.push(PeerAddress {
-                host: lease.host,
-                incarnation: lease.incarnation,
-                address: lease.peer_address,
-                region: lease.region,
-                zone: lease.zone,
-            });
-        }
+        });
         // Without any lease, the hosts that the settings name are asked.
         if peers.is_empty() {
             peers.extend(self.seeds.iter().map(|seed| PeerAddress::with_seed(seed)));
         }
-        self.mesh.set_peers(&peers);
+        if *self.peers.borrow() != peers {
+            self.mesh.set_peers(&peers);
+            *self.peers.borrow_mut() = peers;
+        }
     }
 
     async fn claim_or_renew(&self) {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics in the prometheus text format, on the operators' address.
 
+use crate::status::OrgServed;
 use fighall_core::event::RefusalReason;
 use prometheus::{
     Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
@@ -156,6 +157,21 @@
             .inc();
     }
 
+    /// Gets the counts of an organisation's requests.
+    pub fn organisation_served(&self, organisation: &str) -> OrgServed {
+        let requests = |outcome| {
+            let labels = [organisation, outcome];
+            self.organisations.with_label_values(&labels).get()
+        };
+        let within_rate = self.refused_within_rate.with_label_values(&[organisation]);
+        OrgServed {
+            organisation: organisation.to_owned(),
+            answered: requests("answered"),
+            refused: requests("refused"),
+            refused_within_rate: within_rate.get(),
+        }
+    }
+
     /// Gets all metrics as text.
     pub fn text(&self) -> String {
         let mut buffer = Vec::new();
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -13,7 +13,7 @@
     problem::RequestRefusal,
     quotas::QuotaService,
     status::{
-        CandidateStatus, EventBatch, ExplainAnswer, HostStatus, PeerStatus, ShareStatus,
+        CandidateStatus, EventBatch, ExplainAnswer, HostStatus, OrgServed, PeerStatus, ShareStatus,
         TargetStatus,
     },
     targets::TargetService,
@@ -168,6 +168,7 @@
             peers: self.peer_status(),
             shares: self.share_status(),
             targets: self.target_status(),
+            served: self.served(),
         }
     }
 
@@ -185,6 +186,16 @@
         peers
     }
 
+    fn served(&self) -> Vec<OrgServed> {
+        let Some(config) = self.config.config() else {
+            return Vec::new();
+        };
+        let limits = config.fleet.organisations.iter();
+        limits
+            .map(|limit| self.metrics.organisation_served(&limit.name))
+            .collect()
+    }
+
     fn share_status(&self) -> Vec<ShareStatus> {
         let mut shares = Vec::new();
         for (key, view) in self.quotas.views() {
--- a/crates/entry/src/quotas.rs
+++ b/crates/entry/src/quotas.rs
@@ -44,8 +44,11 @@
 pub(crate) const WAIT_STEP: Duration = Duration::from_millis(20);
 /// Age of a peer's last sign beyond which it is not asked for loans.
 const ALIVE: Duration = Duration::from_secs(2);
-/// Part of an organisation's rate, in percent, below which its demand counts as within it.
-const WITHIN_RATE_PERCENT: u64 = 95;
+/// Part of an organisation's rate, in percent, up to which its demand counts as within it: the
+/// estimate of whole bursts ripples.
+const WITHIN_RATE_PERCENT: u64 = 105;
+/// Factor on the wait for a token of an organisation that is within its rate.
+const WITHIN_RATE_PATIENCE: u32 = 4;
 
 tag! {
     /// `LendingPolicy` is whether shares move between hosts.
@@ -227,13 +230,14 @@
         if self.cover(organisation, &key) {
             return Ok(self.reservation(organisation));
         }
-        let bound = self.loan_wait();
-        let give_up_at = deadline.min(started_at + bound);
+        let within_rate = self.is_within_rate(organisation, &key);
+        let give_up_at = deadline.min(started_at + self.patience(within_rate));
         let _mark = WaitMark::new(self, &key, TOKEN);
         self.hurry.notify(1);
         loop {
             let now = boot_time();
-            if now >= give_up_at || self.is_hopeless(organisation, &key, give_up_at) {
+            let hopeless = !within_rate && self.is_hopeless(organisation, &key, give_up_at);
+            if now >= give_up_at || hopeless {
                 return Err(self.rate_refusal(organisation, &key));
             }
             self.pause(WAIT_STEP.min(give_up_at - now)).await;
@@ -256,10 +260,14 @@
     ) -> std::result::Result<(), RateRefusal> {
         let organisation = reservation.organisation.clone();
         let key = QuotaKey::Organisation(organisation.clone());
-        let give_up_at = deadline.min(boot_time() + self.loan_wait());
+        if self.spend_token(&key) {
+            return Ok(());
+        }
+        let within_rate = self.is_within_rate(&organisation, &key);
+        let give_up_at = deadline.min(boot_time() + self.patience(within_rate));
         loop {
             let now = boot_time();
-            if self.may_spend(now) && self.book.borrow_mut().spend(now, &key, TOKEN) {
+            if self.spend_token(&key) {
                 return Ok(());
             }
             if now >= give_up_at {
@@ -269,6 +277,11 @@
         }
     }
 
+    fn spend_token(&self, key: &QuotaKey) -> bool {
+        let now = boot_time();
+        self.may_spend(now) && self.book.borrow_mut().spend(now, key, TOKEN)
+    }
+
     /// Gets the pace of the link to another region.
     pub fn pace(self: &Rc<Self>, to: &str) -> LinkPace {
         LinkPace::new(self, &self.identity.region, to)
@@ -417,12 +430,8 @@
 
     fn rate_refusal(&self, organisation: &str, key: &QuotaKey) -> RateRefusal {
         let now = boot_time();
-        let view = self.book.borrow_mut().rate_view(now, key);
         let wait = self.book.borrow_mut().wait_for(now, key, TOKEN);
-        let within_rate = view.is_some_and(|view| {
-            let fleet = view.demand + self.demand_elsewhere(organisation);
-            fleet * 100 < view.limit.rate * WITHIN_RATE_PERCENT
-        });
+        let within_rate = self.is_within_rate(organisation, key);
         if within_rate {
             self.metrics
                 .refused_within_rate
@@ -435,6 +444,23 @@
         }
     }
 
+    // The fleet gains tokens faster than an organisation within its rate asks for them: it is worth
+    // waiting for them for longer.
+    fn patience(&self, within_rate: bool) -> Duration {
+        if within_rate {
+            return self.loan_wait() * WITHIN_RATE_PATIENCE;
+        }
+        self.loan_wait()
+    }
+
+    fn is_within_rate(&self, organisation: &str, key: &QuotaKey) -> bool {
+        let view = self.book.borrow_mut().rate_view(boot_time(), key);
+        view.is_some_and(|view| {
+            let fleet = view.steady_demand + self.demand_elsewhere(organisation);
+            fleet * 100 <= view.limit.rate * WITHIN_RATE_PERCENT
+        })
+    }
+
     fn demand_elsewhere(&self, organisation: &str) -> u64 {
         let mut sum = 0;
         self.mesh.with_views(|views| {
@@ -541,14 +567,18 @@
         let generation = self.config.generation();
         self.learn_settled(now, generation);
         let mut lowest = if self.knows_members() { generation } else { 0 };
-        for lease in self.members.leases() {
-            if lease.host == self.identity.host {
-                continue;
+        self.members.with_leases(|leases| {
+            for lease in leases {
+                if lease.host == self.identity.host {
+                    continue;
+                }
+                let heard = self.mesh.with_view(&lease.host, |view| {
+                    let same = view.heard_incarnation == Some(lease.incarnation);
+                    if same { view.state.generation } else { 0 }
+                });
+                lowest = lowest.min(heard.unwrap_or(0));
             }
-            let view = self.mesh.view(&lease.host);
-            let view = view.filter(|view| view.heard_incarnation == Some(lease.incarnation));
-            lowest = lowest.min(view.map_or(0, |view| view.state.generation));
-        }
+        });
         self.book.borrow_mut().confirm(now, lowest);
     }
 
@@ -593,8 +623,10 @@
             QuotaKey::Link { from, .. } => Some(from),
             QuotaKey::Slots(target) => regions.get(target),
         };
-        let view = self.mesh.view(peer);
-        view.is_some_and(|view| Some(&view.peer.region) == region)
+        let near = self
+            .mesh
+            .with_view(peer, |view| Some(&view.peer.region) == region);
+        near.unwrap_or(false)
     }
 
     fn send(&self, outgoing: Vec<OutgoingLoan>) {
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -2,7 +2,7 @@
 
 use fighall_core::{
     event::TimelineEvent,
-    ids::{Generation, HostId, Incarnation, MemberId, RegionId, TargetId, ZoneId},
+    ids::{Generation, HostId, Incarnation, MemberId, OrgId, RegionId, TargetId, ZoneId},
     message,
 };
 
@@ -39,6 +39,23 @@
         pub shares: Vec<ShareStatus>,
         /// Targets.
         pub targets: Vec<TargetStatus>,
+        /// What became of organisations' requests since the process started.
+        pub served: Vec<OrgServed>,
+    }
+}
+
+message! {
+    /// `OrgServed` counts an organisation's requests.
+    #[derive(Eq, Default)]
+    pub struct OrgServed {
+        /// Organisation.
+        pub organisation: OrgId,
+        /// Requests answered.
+        pub answered: u64,
+        /// Requests refused.
+        pub refused: u64,
+        /// Requests refused for rate although the organisation was within its rate.
+        pub refused_within_rate: u64,
     }
 }
 
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -263,6 +263,12 @@
         Some(self.peers.borrow().get(peer)?.view.clone())
     }
 
+    /// Runs `read` on what is known of one peer, without copying it.
+    pub fn with_view<T>(&self, peer: &str, read: impl FnOnce(&PeerView) -> T) -> Option<T> {
+        let peers = self.peers.borrow();
+        peers.get(peer).map(|entry| read(&entry.view))
+    }
+
     /// Runs `read` over the views without copying them.
     pub fn with_views<T>(&self, read: impl FnOnce(&mut dyn Iterator<Item = &PeerView>) -> T) -> T {
         let peers = self.peers.borrow();
--- a/crates/quota/src/book.rs
+++ b/crates/quota/src/book.rs
@@ -1,7 +1,7 @@
 //! The book of all quotas that a host holds a share of, and the policy of lending and borrowing.
 
 use crate::{
-    amount::{MicroTokens, QuotaLimit, TOKEN, gain},
+    amount::{MicroTokens, QuotaLimit, TOKEN, gain, time_for},
     base::{BaseHolder, ShareStart},
     demand::DemandRate,
     loan::{LoanAnswer, LoanAsk, LoanMessage, OutgoingLoan, QuotaKey},
@@ -58,8 +58,13 @@
     asked_at: BootTime,
     rounds: u32,
     open_asks: usize,
+    // Tokens that the last round of asking brought, and the rounds in a row without a whole one.
+    round_gain: MicroTokens,
+    empty_rounds: u32,
     // Tokens that loans bring, as a rate.
     gained: DemandRate,
+    // Whether the quota is listed as busy.
+    busy: bool,
 }
 
 #[derive(Debug)]
@@ -74,6 +79,8 @@
 const ASK_PAUSE: Duration = Duration::from_millis(60);
 /// Pause before the next round when all have answered the last one.
 const ANSWERED_PAUSE: Duration = Duration::from_millis(20);
+/// Longest pause before the next round when the last one brought nothing.
+const EMPTY_PAUSE_LIMIT: Duration = Duration::from_millis(200);
 /// Part of the held rate, in percent, at which more is asked for ahead of need.
 const ASK_AHEAD_PERCENT: u64 = 95;
 /// Headroom on the demand that is asked for, in percent.
@@ -97,6 +104,8 @@
     slot_clock: SettleClock,
     rates: BTreeMap<QuotaKey, RateEntry>,
     slots: BTreeMap<QuotaKey, SlotEntry>,
+    // Rates with demand, waiting requests or loans; only these are visited regularly.
+    busy: Vec<QuotaKey>,
 }
 
 impl QuotaBook {
@@ -113,6 +122,7 @@
             joined: None,
             rates: BTreeMap::new(),
             slots: BTreeMap::new(),
+            busy: Vec::new(),
         }
     }
 
@@ -255,7 +265,7 @@
 
     /// Counts demand for a rate.
     pub fn note_demand(&mut self, now: BootTime, key: &QuotaKey, amount: MicroTokens) {
-        self.rate_entry(now, key).ledger.note_demand(now, amount);
+        self.busy_entry(now, key).ledger.note_demand(now, amount);
     }
 
     /// Spends tokens of a rate if they are held at this very time.
@@ -265,7 +275,7 @@
 
     /// Notes that a request waits for tokens of a rate.
     pub fn start_wait(&mut self, now: BootTime, key: &QuotaKey, amount: MicroTokens) {
-        let entry = self.rate_entry(now, key);
+        let entry = self.busy_entry(now, key);
         entry.waiting = entry.waiting.saturating_add(amount);
     }
 
@@ -356,7 +366,13 @@
         sharers: impl Fn(&QuotaKey, &HostId) -> bool,
     ) -> Vec<OutgoingLoan> {
         let mut outgoing = Vec::new();
-        for (key, entry) in &mut self.rates {
+        for key in &self.busy {
+            let Some(entry) = self.rates.get_mut(key) else {
+                continue;
+            };
+            if !wants_loan(now, entry) {
+                continue;
+            }
             let peers = peers.iter().filter(|peer| sharers(key, peer));
             let peers: Vec<_> = peers.cloned().collect();
             ask_rate(now, key, entry, &peers, &mut outgoing);
@@ -379,7 +395,10 @@
     /// Creates renewals of loans that are needed and returns of those that are not.
     pub fn upkeep(&mut self, now: BootTime) -> Vec<OutgoingLoan> {
         let mut outgoing = Vec::new();
-        for (key, entry) in &mut self.rates {
+        for key in &self.busy {
+            let Some(entry) = self.rates.get_mut(key) else {
+                continue;
+            };
             let demand = entry.ledger.view(now).demand;
             let (mut needed, tokens) = reserve_for(demand, entry.waiting);
             needed.rate = needed.rate * ASK_MORE_PERCENT / 100;
@@ -387,6 +406,7 @@
             outgoing.extend(entry.ledger.give_back(now, key, needed, tokens));
             outgoing.extend(entry.ledger.renewals(now, key));
         }
+        self.drop_idle(now);
         for (key, entry) in &mut self.slots {
             if entry.waiting > 0 || now.saturating_sub(entry.busy_at) < SLOT_IDLE {
                 continue;
@@ -472,14 +492,36 @@
             entry.ledger.accept(now, peer, answer);
             return;
         }
-        let entry = self.rate_entry(now, &answer.key);
+        let entry = self.busy_entry(now, &answer.key);
         entry.open_asks = entry.open_asks.saturating_sub(1);
         let gained = entry.ledger.accept(now, peer, answer);
         if gained > 0 {
+            entry.round_gain += gained;
             entry.gained.add(now, gained);
         }
     }
 
+    fn busy_entry(&mut self, now: BootTime, key: &QuotaKey) -> &mut RateEntry {
+        if self.rates.get(key).is_none_or(|entry| !entry.busy) {
+            self.rate_entry(now, key).busy = true;
+            self.busy.push(key.clone());
+        }
+        self.rate_entry(now, key)
+    }
+
+    // A quota without demand, waiting requests and borrowed loans needs no more visits.
+    fn drop_idle(&mut self, now: BootTime) {
+        let rates = &mut self.rates;
+        self.busy.retain(|key| {
+            let Some(entry) = rates.get_mut(key) else {
+                return false;
+            };
+            let idle = entry.waiting == 0 && entry.ledger.is_idle(now);
+            entry.busy = !idle;
+            entry.busy
+        });
+    }
+
     fn rate_entry(&mut self, now: BootTime, key: &QuotaKey) -> &mut RateEntry {
         if !self.rates.contains_key(key) {
             let options = self.options.rates.clone();
@@ -493,7 +535,10 @@
                 asked_at: Duration::ZERO,
                 rounds: 0,
                 open_asks: 0,
+                round_gain: 0,
+                empty_rounds: 0,
                 gained: DemandRate::new(now),
+                busy: false,
             };
             self.rates.insert(key.clone(), entry);
         }
@@ -519,6 +564,35 @@
     }
 }
 
+fn wants_loan(now: BootTime, entry: &mut RateEntry) -> bool {
+    let view = entry.ledger.view(now);
+    if entry.waiting > view.tokens || wants_ahead(&view) {
+        return true;
+    }
+    entry.rounds = 0;
+    entry.open_asks = 0;
+    entry.empty_rounds = 0;
+    false
+}
+
+fn wants_ahead(view: &ShareView) -> bool {
+    let near = view.demand > view.held.rate * ASK_AHEAD_PERCENT / 100;
+    let low = view.tokens < view.held.capacity / 2;
+    near && low && view.demand > TOKEN && view.held.rate < view.limit.rate
+}
+
+// Rounds that find every share spent follow each other ever more slowly, up to the time in which
+// the fleet gains a token.
+fn round_pause(entry: &RateEntry, limit: QuotaLimit) -> Duration {
+    if entry.open_asks > 0 {
+        return ASK_PAUSE;
+    }
+    let refill = time_for(limit.rate, TOKEN).unwrap_or(EMPTY_PAUSE_LIMIT);
+    let longest = refill.clamp(ANSWERED_PAUSE, EMPTY_PAUSE_LIMIT);
+    let pause = ANSWERED_PAUSE * 2_u32.saturating_pow(entry.empty_rounds);
+    pause.min(longest)
+}
+
 // While requests wait, every peer is asked for all that is missing, since shares may all lie with
 // one host; what proves too much goes back soon. Ahead of need, each is asked for twice its part.
 fn ask_rate(
@@ -530,26 +604,18 @@
 ) {
     let view = entry.ledger.view(now);
     let missing_tokens = entry.waiting.saturating_sub(view.tokens);
-    let ahead = view.demand > view.held.rate * ASK_AHEAD_PERCENT / 100;
-    let ahead = ahead && view.tokens < view.held.capacity / 2;
-    let ahead = ahead && view.demand > TOKEN && view.held.rate < view.limit.rate;
-    if missing_tokens == 0 && !ahead {
-        entry.rounds = 0;
-        entry.open_asks = 0;
-        return;
-    }
-    let pause = if entry.open_asks == 0 {
-        ANSWERED_PAUSE
-    } else {
-        ASK_PAUSE
-    };
-    let due = now.saturating_sub(entry.asked_at) >= pause;
+    let due = now.saturating_sub(entry.asked_at) >= round_pause(entry, view.limit);
     if !due || peers.is_empty() {
         return;
     }
     entry.asked_at = now;
     entry.rounds += 1;
     entry.open_asks = peers.len();
+    entry.empty_rounds = match entry.round_gain {
+        gain if gain < TOKEN && entry.rounds > 1 => entry.empty_rounds.saturating_add(1),
+        _ => 0,
+    };
+    entry.round_gain = 0;
     let rate = (view.demand * ASK_MORE_PERCENT / 100).saturating_sub(view.held.rate);
     let capacity = gain(view.demand, CAPACITY_TIME).saturating_sub(view.held.capacity);
     let count = u64::try_from(peers.len()).unwrap_or(1);
--- a/crates/quota/src/demand.rs
+++ b/crates/quota/src/demand.rs
@@ -4,17 +4,21 @@
 use fighall_core::ids::BootTime;
 use std::time::Duration;
 
-/// Time constant of the estimate.
+/// Time constant of the estimate that lending follows.
 const TIME_CONSTANT: Duration = Duration::from_millis(700);
 /// Arrivals that a pause must have missed before it speaks against the estimate. At a steady rate
 /// of random arrivals such a pause has a probability of 5 %.
 const MISSED_ARRIVALS: f64 = 3.0;
 
+/// Time constant of the estimate that tells whether a limit is kept to: bursts are smoothed out.
+const STEADY_TIME_CONSTANT: Duration = Duration::from_secs(10);
+
 /// `DemandRate` estimates how many tokens a second are asked for here.
 #[derive(Debug, Clone)]
 pub struct DemandRate {
     // Weight of past demand, in micro-tokens; divided by the time constant it is a rate.
     mass: f64,
+    time_constant: Duration,
     seen_at: BootTime,
     last_amount: MicroTokens,
 }
@@ -24,11 +28,20 @@
     pub fn new(now: BootTime) -> Self {
         Self {
             mass: 0.0,
+            time_constant: TIME_CONSTANT,
             seen_at: now,
             last_amount: 0,
         }
     }
 
+    /// Creates an estimate of zero that smooths bursts out.
+    pub fn with_smoothing(now: BootTime) -> Self {
+        Self {
+            time_constant: STEADY_TIME_CONSTANT,
+            ..Self::new(now)
+        }
+    }
+
     /// Counts demand for an amount.
     pub fn add(&mut self, now: BootTime, amount: MicroTokens) {
         self.decay(now);
@@ -40,20 +53,20 @@
     /// lowers it at once: callers may have moved to another host.
     pub fn rate(&self, now: BootTime) -> MicroRate {
         let elapsed = now.saturating_sub(self.seen_at);
-        let average = self.mass * decay_factor(elapsed) / TIME_CONSTANT.as_secs_f64();
+        let average = self.mass * self.decay_factor(elapsed) / self.time_constant.as_secs_f64();
         let bound = to_float(self.last_amount) * MISSED_ARRIVALS / elapsed.as_secs_f64();
         to_amount(average.min(bound))
     }
 
     fn decay(&mut self, now: BootTime) {
         let elapsed = now.saturating_sub(self.seen_at);
-        self.mass *= decay_factor(elapsed);
+        self.mass *= self.decay_factor(elapsed);
         self.seen_at = now;
     }
-}
 
-fn decay_factor(elapsed: Duration) -> f64 {
-    (-elapsed.as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp()
+    fn decay_factor(&self, elapsed: Duration) -> f64 {
+        (-elapsed.as_secs_f64() / self.time_constant.as_secs_f64()).exp()
+    }
 }
 
 // Estimates need no exactness: a heuristic input never decides what is safe.
@@ -84,4 +97,17 @@
         let paused = demand.rate(Duration::from_millis(4_990 + 100));
         assert!(paused <= 30 * TOKEN, "{paused}");
     }
+
+    #[test]
+    fn smoothing_evens_whole_bursts_out() {
+        let mut demand = DemandRate::with_smoothing(Duration::ZERO);
+        for step in 0..200_u32 {
+            let now = Duration::from_millis(2_222) * step;
+            for _ in 0..4 {
+                demand.add(now, TOKEN);
+            }
+            let rate = demand.rate(now);
+            assert!(rate <= 2 * TOKEN + TOKEN / 20, "{rate}");
+        }
+    }
 }
--- a/crates/quota/src/rate.rs
+++ b/crates/quota/src/rate.rs
@@ -98,6 +98,8 @@
         pub borrowed: QuotaLimit,
         /// Estimated demand here.
         pub demand: MicroRate,
+        /// The same with bursts smoothed out.
+        pub steady_demand: MicroRate,
     }
 }
 
@@ -116,11 +118,14 @@
     pending: BTreeMap<LoanId, BootTime>,
     accepted: BTreeMap<LoanId, BootTime>,
     demand: DemandRate,
+    steady_demand: DemandRate,
     // Sum of the borrowed portions, and the time before which settling changes no loan.
     borrowed_sum: QuotaLimit,
     settled_until: BootTime,
 }
 
+/// Demand below which a quota counts as idle: one token in twenty seconds.
+const IDLE_DEMAND: MicroRate = TOKEN / 20;
 /// Part of the limit below which a loan is not worth its messages, as a divisor.
 const SMALLEST_PART: u64 = 256;
 
@@ -141,6 +146,7 @@
             pending: BTreeMap::new(),
             accepted: BTreeMap::new(),
             demand: DemandRate::new(now),
+            steady_demand: DemandRate::with_smoothing(now),
             borrowed_sum: QuotaLimit::default(),
             settled_until: Duration::ZERO,
         }
@@ -219,6 +225,7 @@
     /// Counts demand, whether or not it is met.
     pub fn note_demand(&mut self, now: BootTime, amount: MicroTokens) {
         self.demand.add(now, amount);
+        self.steady_demand.add(now, amount);
     }
 
     /// Gets the time until an amount is held, if the share stays as it is.
@@ -249,9 +256,16 @@
             lent,
             borrowed: self.borrowed_sum,
             demand: self.demand.rate(now),
+            steady_demand: self.steady_demand.rate(now),
         }
     }
 
+    /// Tells whether there is no demand to speak of and nothing borrowed, so that nothing has to be
+    /// asked for, renewed or given back.
+    pub fn is_idle(&self, now: BootTime) -> bool {
+        self.borrowed.is_empty() && self.pending.is_empty() && self.demand.rate(now) < IDLE_DEMAND
+    }
+
     /// Creates the asking for a loan. The time of sending bounds the loan's end.
     pub fn ask(
         &mut self,
@@ -673,7 +687,7 @@
 /// a second of it and for the requests that wait.
 pub fn reserve_for(demand: MicroRate, waiting: MicroTokens) -> (QuotaLimit, MicroTokens) {
     // A trace of old demand must not hold a token back.
-    let demand = if demand < TOKEN / 20 { 0 } else { demand };
+    let demand = if demand < IDLE_DEMAND { 0 } else { demand };
     let tokens = gain(demand, RESERVE_TIME).saturating_add(waiting);
     let limit = QuotaLimit {
         rate: demand.saturating_add(demand / 10),
--- a/crates/route/src/lookup.rs
+++ b/crates/route/src/lookup.rs
@@ -4,7 +4,7 @@
     ids::{HostId, RegionId},
     message, rendezvous, value,
 };
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 value! {
     /// `HostView` is an entry host as another one knows it.
@@ -26,6 +26,7 @@
 
 message! {
     /// `LookupHost` is one entry host of a look-up answer.
+    #[derive(Eq)]
     pub struct LookupHost {
         /// Name.
         pub host: HostId,
@@ -50,47 +51,90 @@
     }
 }
 
-/// Orders entry hosts for a caller near to `region`. Hosts that leave are left out, and
-/// overloaded ones unless all are. Rendezvous hashing by service and organisation keeps an
-/// organisation's callers on few hosts, so that its quota is not spread thin.
-pub fn order(
-    views: &[HostView],
-    region: &RegionId,
-    service: &str,
-    organisation: &str,
-) -> Vec<LookupHost> {
-    let mut open: Vec<_> = views.iter().filter(|view| view.open).collect();
-    let relaxed = open.iter().all(|view| view.overloaded);
-    open.retain(|view| relaxed || !view.overloaded);
-    let key = format!("{service}/{organisation}");
-    rendezvous::rank(&key, &mut open, |view| view.host.clone());
-    // The sort is stable: hosts of one region keep the order of their ranks.
-    open.sort_by_key(|view| (view.region != *region, view.round_trip, view.region.clone()));
-    let mut hosts = Vec::new();
-    for view in open {
-        hosts.push(LookupHost {
-            host: view.host.clone(),
-            address: view.address.clone(),
-            region: view.region.clone(),
-        });
+/// Most hosts of the caller's region in an answer.
+const NEAR_HOSTS: usize = 8;
+/// Most hosts of each other region in an answer.
+const FAR_HOSTS: usize = 3;
+/// Most hosts in an answer.
+const ANSWER_HOSTS: usize = 16;
+
+#[derive(Debug)]
+struct RegionHosts {
+    region: RegionId,
+    round_trip: Duration,
+    hosts: Vec<LookupHost>,
+}
+
+/// `HostDirectory` holds the entry hosts that take callers, by region, as look-ups need them.
+#[derive(Debug, Default)]
+pub struct HostDirectory {
+    // The nearest region first.
+    regions: Vec<RegionHosts>,
+}
+
+impl HostDirectory {
+    /// Creates a directory. Hosts that leave are left out, and overloaded ones unless all are.
+    pub fn new(views: &[HostView]) -> Self {
+        let open = || views.iter().filter(|view| view.open);
+        let relaxed = open().all(|view| view.overloaded);
+        let mut regions: BTreeMap<&RegionId, RegionHosts> = BTreeMap::new();
+        for view in open().filter(|view| relaxed || !view.overloaded) {
+            let entry = regions.entry(&view.region).or_insert_with(|| RegionHosts {
+                region: view.region.clone(),
+                round_trip: Duration::MAX,
+                hosts: Vec::new(),
+            });
+            entry.round_trip = entry.round_trip.min(view.round_trip);
+            entry.hosts.push(LookupHost {
+                host: view.host.clone(),
+                address: view.address.clone(),
+                region: view.region.clone(),
+            });
+        }
+        let mut regions: Vec<_> = regions.into_values().collect();
+        regions.sort_by_key(|entry| entry.round_trip);
+        Self { regions }
+    }
+
+    /// Orders entry hosts for a caller near to `region`: hosts of that region, then some of each
+    /// other one, the nearest first. Rendezvous hashing by service and organisation keeps an
+    /// organisation's callers on few hosts, so that its quota is not spread thin.
+    pub fn answer(&self, region: &str, service: &str, organisation: &str) -> Vec<LookupHost> {
+        let key = format!("{service}/{organisation}");
+        let mut hosts = Vec::new();
+        let near = self.regions.iter().filter(|entry| entry.region == region);
+        let far = self.regions.iter().filter(|entry| entry.region != region);
+        for entry in near.chain(far) {
+            let most = if entry.region == region {
+                NEAR_HOSTS
+            } else {
+                FAR_HOSTS
+            };
+            let most = most.min(ANSWER_HOSTS - hosts.len());
+            if most == 0 {
+                break;
+            }
+            let picked = rendezvous::top(&key, &entry.hosts, most, |host| host.host.as_str());
+            hosts.extend(picked.into_iter().cloned());
+        }
+        hosts
     }
-    hosts
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
-    fn views() -> Vec<HostView> {
+    fn views(count: u64, in_region: u64) -> Vec<HostView> {
         let mut views = Vec::new();
-        for index in 0..9_u64 {
+        for index in 0..count {
             views.push(HostView {
                 host: format!("h{index}"),
-                region: format!("r{}", index / 3),
+                region: format!("r{}", index / in_region),
                 address: format!("127.0.0.1:{index}"),
                 open: true,
                 overloaded: false,
-                round_trip: Duration::from_millis(index / 3 * 20),
+                round_trip: Duration::from_millis(index / in_region * 20),
             });
         }
         views
@@ -98,27 +142,44 @@
 
     #[test]
     fn the_callers_region_comes_first_and_organisations_stay_together() {
-        let mut views = views();
-        let region = "r1".to_owned();
-        let answer = order(&views, &region, "s", "acme");
+        let mut views = views(9, 3);
+        let answer = HostDirectory::new(&views).answer("r1", "s", "acme");
         assert_eq!(answer.len(), 9);
-        assert!(answer[..3].iter().all(|host| host.region == "r1"));
-        assert_eq!(answer, order(&views, &region, "s", "acme"));
+        let regions: Vec<_> = answer.iter().map(|host| host.region.as_str()).collect();
+        assert_eq!(
+            regions,
+            ["r1", "r1", "r1", "r0", "r0", "r0", "r2", "r2", "r2"]
+        );
         let first = answer[0].host.clone();
         for view in &mut views {
             view.open = view.host != first;
         }
-        let next = order(&views, &region, "s", "acme");
+        let next = HostDirectory::new(&views).answer("r1", "s", "acme");
         assert_eq!(next[0].host, answer[1].host);
         assert_eq!(next.len(), 8);
     }
 
     #[test]
     fn overloaded_hosts_serve_when_all_are() {
-        let mut views = views();
+        let mut views = views(9, 3);
         for view in &mut views {
             view.overloaded = true;
         }
-        assert_eq!(order(&views, &"r0".to_owned(), "s", "").len(), 9);
+        let answer = HostDirectory::new(&views).answer("r0", "s", "");
+        assert_eq!(answer.len(), 9);
+        views[4].overloaded = false;
+        let answer = HostDirectory::new(&views).answer("r0", "s", "");
+        assert_eq!(answer.len(), 1);
+    }
+
+    #[test]
+    fn an_answer_stays_short_in_a_large_fleet() {
+        let directory = HostDirectory::new(&views(600, 25));
+        let answer = directory.answer("r7", "s", "acme");
+        assert_eq!(answer.len(), ANSWER_HOSTS);
+        assert!(answer[..NEAR_HOSTS].iter().all(|host| host.region == "r7"));
+        assert!(answer[NEAR_HOSTS..].iter().all(|host| host.region != "r7"));
+        let other = directory.answer("r7", "s", "brisa");
+        assert_ne!(answer[0], other[0]);
     }
 }
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -294,6 +294,17 @@
         }
     }
 
+    /// Ends all hosts and targets, so that nothing of this deployment runs beside the next one.
+    pub fn shut_down(mut self) {
+        let names: Vec<_> = self.nodes.keys().cloned().collect();
+        for name in names {
+            self.kill_host(&name);
+        }
+        for target in self.targets.values() {
+            target.close();
+        }
+    }
+
     /// Writes a host into the platform's list.
     pub fn list_host(&self, name: &str, state: HostState, address: &str) {
         self.list(name, HostRole::Entry, state, address);
--- a/crates/tools/src/overview.rs
+++ b/crates/tools/src/overview.rs
@@ -5,8 +5,8 @@
     ids::{HostId, OrgId, RegionId},
     message,
 };
-use fighall_entry::status::HostStatus;
-use std::collections::BTreeMap;
+use fighall_entry::status::{HostStatus, OrgServed};
+use std::{cmp::Reverse, collections::BTreeMap};
 
 message! {
     /// `FleetOverview` is the fleet as its hosts see it.
@@ -17,7 +17,7 @@
         pub silent: BTreeMap<HostId, String>,
         /// Headroom by region.
         pub headroom: Vec<RegionHeadroom>,
-        /// Organisations by how much of their rate is in use, the most loaded first.
+        /// Organisations, the worst served first.
         pub organisations: Vec<OrgLoad>,
     }
 }
@@ -43,6 +43,27 @@
         pub limit: u64,
         /// Demand.
         pub demand: u64,
+        /// What became of its requests at the hosts that answered.
+        pub served: OrgServed,
+    }
+}
+
+impl OrgLoad {
+    fn new(organisation: &str) -> Self {
+        Self {
+            organisation: organisation.to_owned(),
+            limit: 0,
+            demand: 0,
+            served: OrgServed::default(),
+        }
+    }
+
+    // Part of the requests that were answered, in percent; all of none.
+    fn served_percent(&self) -> u64 {
+        let total = self.served.answered + self.served.refused;
+        (self.served.answered * 100)
+            .checked_div(total)
+            .unwrap_or(100)
     }
 }
 
@@ -100,13 +121,26 @@
         ]);
     }
     println!("{table}");
-    let mut table = TextTable::new(&["ORGANISATION", "RATE/s", "DEMAND/s", "USED %"]);
+    let mut table = TextTable::new(&[
+        "ORGANISATION",
+        "RATE/s",
+        "DEMAND/s",
+        "USED %",
+        "ANSWERED",
+        "REFUSED",
+        "WITHIN RATE",
+        "SERVED %",
+    ]);
     for row in &overview.organisations {
         table.push(&[
             row.organisation.clone(),
             (row.limit / 1_000).to_string(),
             (row.demand / 1_000).to_string(),
             (row.demand * 100 / row.limit.max(1)).to_string(),
+            row.served.answered.to_string(),
+            row.served.refused.to_string(),
+            row.served.refused_within_rate.to_string(),
+            row.served_percent().to_string(),
         ]);
     }
     print!("{table}");
@@ -183,16 +217,78 @@
             let Some(organisation) = share.quota.strip_prefix("organisation/") else {
                 continue;
             };
-            let row = loads.entry(organisation.to_owned()).or_insert(OrgLoad {
-                organisation: organisation.to_owned(),
-                limit: share.limit,
-                demand: 0,
-            });
+            let row = loads.entry(organisation.to_owned());
+            let row = row.or_insert_with(|| OrgLoad::new(organisation));
             row.limit = row.limit.max(share.limit);
             row.demand += share.demand;
         }
+        for counts in &host.served {
+            let row = loads.entry(counts.organisation.clone());
+            let row = row.or_insert_with(|| OrgLoad::new(&counts.organisation));
+            row.served.answered += counts.answered;
+            row.served.refused += counts.refused;
+            row.served.refused_within_rate += counts.refused_within_rate;
+        }
     }
     let mut rows: Vec<_> = loads.into_values().collect();
-    rows.sort_by_key(|row| std::cmp::Reverse(row.demand * 1_000 / row.limit.max(1)));
+    // Refusals within the rate weigh most: these are the system's, not the organisation's.
+    rows.sort_by_key(|row| {
+        let used = row.demand * 1_000 / row.limit.max(1);
+        let within_rate = row.served.refused_within_rate;
+        (Reverse(within_rate), row.served_percent(), Reverse(used))
+    });
     rows
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn load(
+        organisation: &str,
+        answered: u64,
+        refused: u64,
+        refused_within_rate: u64,
+    ) -> OrgServed {
+        OrgServed {
+            organisation: organisation.to_owned(),
+            answered,
+            refused,
+            refused_within_rate,
+        }
+    }
+
+    fn status(served: Vec<OrgServed>) -> HostStatus {
+        HostStatus {
+            host: "lima-0".to_owned(),
+            incarnation: 1,
+            region: "lima".to_owned(),
+            zone: "lima-a".to_owned(),
+            stage: "running".to_owned(),
+            generation: 1,
+            member: Some(0),
+            active: true,
+            store_up: true,
+            keys_fresh: true,
+            keys_version: 1,
+            work: 0,
+            peers: Vec::new(),
+            shares: Vec::new(),
+            targets: Vec::new(),
+            served,
+        }
+    }
+
+    #[test]
+    fn the_worst_served_organisation_comes_first() {
+        let hosts = [
+            status(vec![load("loud", 10, 90, 0), load("quiet", 50, 0, 0)]),
+            status(vec![load("wronged", 99, 1, 1), load("quiet", 50, 0, 0)]),
+        ];
+        let rows = organisations(&hosts);
+        let names: Vec<_> = rows.iter().map(|row| row.organisation.as_str()).collect();
+        assert_eq!(names, ["wronged", "loud", "quiet"]);
+        assert_eq!(rows[1].served_percent(), 10);
+        assert_eq!(rows[2].served.answered, 100);
+    }
+}
