Split the longest modules of quota and entry, and drop what stood twice

Cause: book.rs, quotas.rs and targets.rs held several jobs each; the two bodies passed calls on in the same way; the key table kept a freshness that the mirror of keys has.

Change: asking for loans (quota/asking.rs), the book's line with configuration and members (entry/shares.rs), waiting requests (entry/queues.rs) and drains (entry/absences.rs) have modules of their own. One generic RelayBody serves both directions. KeyTable keeps keys only. No behaviour changes and no test was changed, but for one that tested the dropped freshness; the mirror's own test of the same rule stays.

--- a/crates/config/src/keys.rs
+++ b/crates/config/src/keys.rs
@@ -1,12 +1,12 @@
 //! Keys: which organisation a key's digest stands for, and withdrawal, which is final.
 
 use fighall_core::{
-    ids::{BootTime, OrgId, Version},
+    ids::{OrgId, Version},
     message,
     secret::KeyDigest,
     tag,
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 tag! {
     /// `KeyState` is whether a key works.
@@ -45,16 +45,14 @@
     }
 }
 
-/// `KeyTable` is the keys known to a host and how fresh this knowledge is.
+/// `KeyTable` is the keys known to a host.
 #[derive(Debug, Default)]
 pub struct KeyTable {
     entries: BTreeMap<KeyDigest, KeyChange>,
-    version: Version,
-    confirmed_at: Option<BootTime>,
 }
 
 impl KeyTable {
-    /// Creates an empty table that was never confirmed.
+    /// Creates an empty table.
     pub fn new() -> Self {
         Self::default()
     }
@@ -62,7 +60,6 @@
     /// Takes in a change. A withdrawn key stays withdrawn, and an older version changes nothing.
     /// Returns whether the change withdrew a key that worked.
     pub fn apply(&mut self, change: KeyChange) -> bool {
-        self.version = self.version.max(change.version);
         let known = self.entries.get(&change.digest);
         if let Some(known) = known {
             let final_state = known.entry.state == KeyState::Withdrawn;
@@ -75,24 +72,6 @@
         withdrew
     }
 
-    /// Notes that everything accepted up to `version` before `at` is in the table.
-    pub fn confirm(&mut self, version: Version, at: BootTime) {
-        if version >= self.version {
-            self.version = version;
-            self.confirmed_at = self.confirmed_at.max(Some(at));
-        }
-    }
-
-    /// Gets the version up to which changes are known.
-    pub fn version(&self) -> Version {
-        self.version
-    }
-
-    /// Gets the age of the latest confirmation.
-    pub fn age(&self, now: BootTime) -> Option<Duration> {
-        Some(now.saturating_sub(self.confirmed_at?))
-    }
-
     /// Finds the organisation of a key that works.
     pub fn organisation(&self, digest: &str) -> Option<&OrgId> {
         let change = self.entries.get(digest)?;
@@ -102,12 +81,6 @@
         Some(&change.entry.organisation)
     }
 
-    /// Lists the changes after a version.
-    pub fn changes_after(&self, version: Version) -> Vec<KeyChange> {
-        let newer = self.entries.values().filter(|key| key.version > version);
-        newer.cloned().collect()
-    }
-
     /// Gets the number of keys.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -146,17 +119,4 @@
         table.apply(change(KeyState::Active, 9));
         assert_eq!(table.organisation("d"), None);
     }
-
-    #[test]
-    fn an_older_version_confirms_nothing() {
-        let mut table = KeyTable::new();
-        table.apply(change(KeyState::Active, 5));
-        table.confirm(4, Duration::from_secs(9));
-        assert_eq!(table.age(Duration::from_secs(10)), None);
-        table.confirm(5, Duration::from_secs(9));
-        assert_eq!(
-            table.age(Duration::from_secs(10)),
-            Some(Duration::from_secs(1))
-        );
-    }
 }
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -136,18 +136,41 @@
     }
 }
 
-/// `UpstreamBody` is what is sent to a target or a peer.
+/// `RelayBody` is a body on its way through this host.
 #[derive(Debug)]
-pub enum UpstreamBody {
-    /// A body that is held whole, so that it can be sent again.
+pub enum RelayBody<B> {
+    /// A body that is held whole.
     Whole(Full<Bytes>),
     /// A body that is passed on as it comes.
-    Streamed(Box<CallerBody>),
+    Streamed(Box<B>),
     /// A body that is passed on at the pace of a link.
-    Paced(Box<PacedBody<CallerBody>>),
+    Paced(Box<PacedBody<B>>),
 }
 
-impl Body for UpstreamBody {
+/// `UpstreamBody` is what is sent to a target or a peer.
+pub type UpstreamBody = RelayBody<CallerBody>;
+/// `ProxyBody` is what a caller or a forwarding peer is sent.
+pub type ProxyBody = RelayBody<AnswerBody>;
+
+impl<B> RelayBody<B> {
+    /// Creates a body from bytes.
+    pub fn full(bytes: Bytes) -> Self {
+        Self::Whole(Full::new(bytes))
+    }
+
+    /// Creates a body that is passed on, at the pace of a link where one is given.
+    pub fn passed_on(body: B, pace: Option<LinkPace>) -> Self {
+        match pace {
+            None => Self::Streamed(Box::new(body)),
+            Some(pace) => Self::Paced(Box::new(PacedBody::new(body, pace))),
+        }
+    }
+}
+
+impl<B> Body for RelayBody<B>
+where
+    B: Body<Data = Bytes, Error = BodyError> + Unpin,
+{
     type Data = Bytes;
     type Error = BodyError;
 
@@ -312,55 +335,3 @@
         self.body.size_hint()
     }
 }
-
-/// `ProxyBody` is what a caller or a forwarding peer is sent.
-#[derive(Debug)]
-pub enum ProxyBody {
-    /// A body that is held whole.
-    Whole(Full<Bytes>),
-    /// A target's body, passed on as it comes.
-    Answer(Box<AnswerBody>),
-    /// A target's body, passed on at the pace of a link.
-    Paced(Box<PacedBody<AnswerBody>>),
-}
-
-impl ProxyBody {
-    /// Creates a body from bytes.
-    pub fn full(bytes: Bytes) -> Self {
-        Self::Whole(Full::new(bytes))
-    }
-}
-
-impl Body for ProxyBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match self.get_mut() {
-            Self::Whole(body) => Pin::new(body)
-                .poll_frame(cx)
-                .map_err(|error| match error {}),
-            Self::Answer(body) => Pin::new(body.as_mut()).poll_frame(cx),
-            Self::Paced(body) => Pin::new(body.as_mut()).poll_frame(cx),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Whole(body) => body.is_end_stream(),
-            Self::Answer(body) => body.is_end_stream(),
-            Self::Paced(body) => body.is_end_stream(),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(body) => body.size_hint(),
-            Self::Answer(body) => body.size_hint(),
-            Self::Paced(body) => body.size_hint(),
-        }
-    }
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![forbid(unsafe_code)]
 
+mod absences;
 pub mod authority;
 pub mod bases;
 pub mod body;
@@ -29,10 +30,12 @@
 pub mod probes;
 pub mod problem;
 pub mod proxy;
+mod queues;
 pub mod quotas;
 pub mod request;
 pub mod router;
 pub mod settings;
+mod shares;
 pub mod slots;
 pub mod status;
 pub mod targets;
--- a/crates/entry/src/probes.rs
+++ b/crates/entry/src/probes.rs
@@ -21,7 +21,7 @@
 use fighall_peer::mesh::PeerMesh;
 use fighall_route::board::LoadReport;
 use http::Request;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
 /// Interval at which due probes are looked for.
@@ -152,7 +152,7 @@
         let request = Request::builder()
             .uri(path)
             .header(http::header::HOST, target.name.as_str())
-            .body(UpstreamBody::Whole(Full::new(Bytes::new())))
+            .body(UpstreamBody::full(Bytes::new()))
             .ok()?;
         let bounds = ExchangeBounds {
             need: ConnectionNeed {
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -1,7 +1,7 @@
 //! The way of one request: reserve, place, spend, send, and retry where that is safe.
 
 use crate::{
-    body::{AnswerBody, PacedBody, ProxyBody, UpstreamBody},
+    body::{AnswerBody, ProxyBody, UpstreamBody},
     configuration::ConfigService,
     exchange::{AttemptFailure, ExchangeBounds, ExchangeGuard, ReuseFlag, send},
     headers::{
@@ -30,7 +30,7 @@
 use fighall_route::retry::{AttemptResult, RetryBudget, RetryDecision, decide};
 use futures_util::{FutureExt, pin_mut, select_biased};
 use http::{Request, Response, StatusCode, header::HOST};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -370,18 +370,13 @@
         region: Option<&str>,
     ) -> std::result::Result<UpstreamBody, AttemptFailure> {
         match &context.body {
-            RequestBody::Whole(bytes) => Ok(UpstreamBody::Whole(Full::new(bytes.clone()))),
+            RequestBody::Whole(bytes) => Ok(UpstreamBody::full(bytes.clone())),
             RequestBody::Streamed { body, .. } => {
                 let body = body.borrow_mut().take();
                 let body =
                     body.ok_or_else(|| AttemptFailure::not_run("the body was passed on already"))?;
-                match region {
-                    None => Ok(UpstreamBody::Streamed(Box::new(body))),
-                    Some(region) => {
-                        let paced = PacedBody::new(body, self.quotas.pace(region));
-                        Ok(UpstreamBody::Paced(Box::new(paced)))
-                    }
-                }
+                let pace = region.map(|region| self.quotas.pace(region));
+                Ok(UpstreamBody::passed_on(body, pace))
             }
         }
     }
@@ -406,10 +401,7 @@
             return Ok(Response::from_parts(parts, ProxyBody::full(bytes)));
         }
         let body = AnswerBody::new(body, guard);
-        let body = match &context.way_back {
-            None => ProxyBody::Answer(Box::new(body)),
-            Some(pace) => ProxyBody::Paced(Box::new(PacedBody::new(body, pace.clone()))),
-        };
+        let body = ProxyBody::passed_on(body, context.way_back.clone());
         Ok(Response::from_parts(parts, body))
     }
 
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -11,11 +11,7 @@
     slots::{SlotLease, UsedSlot, Waiter, WaiterGuard},
 };
 use event_listener::Event;
-use fighall_config::{
-    commands::{DrainScope, OperatorCommand},
-    listing::{HostRole, HostState as ListedState, ListedHost},
-    service::ServiceTarget,
-};
+use fighall_config::service::ServiceTarget;
 use fighall_core::{
     clock::boot_time,
     event::{EventKind, EventSubject},
@@ -31,14 +27,13 @@
 use fighall_platform::object::kinds;
 use fighall_quota::slots::SlotTicket;
 use fighall_route::{
-    board::{AbsenceCause, TargetBoard, TargetReport},
+    board::{TargetBoard, TargetReport},
     fair::FairQueue,
     placement::{
         CandidateView, PlacementPolicy, PlacementQuery, SlotRoom, TargetPlacement, candidates,
         place,
     },
 };
-use futures_util::{FutureExt, pin_mut, select_biased};
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, VecDeque},
@@ -52,8 +47,6 @@
 const ASK_TARGETS: usize = 3;
 /// Time within which a target notices that a request was cancelled.
 const CANCEL_TIME: Duration = Duration::from_millis(20);
-/// Service time that is assumed before any request has ended.
-const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(20);
 /// Weight of a new service time in the moving average.
 const SERVICE_TIME_WEIGHT: f64 = 0.1;
 
@@ -73,9 +66,9 @@
 }
 
 #[derive(Debug)]
-struct ServiceQueue {
-    queue: FairQueue<Rc<Waiter>>,
-    service_time: f64,
+pub(crate) struct ServiceQueue {
+    pub(crate) queue: FairQueue<Rc<Waiter>>,
+    pub(crate) service_time: f64,
 }
 
 #[derive(Debug)]
@@ -90,16 +83,16 @@
     identity: Rc<HostIdentity>,
     ring: Rc<EventRing>,
     mesh: Rc<PeerMesh>,
-    mirrors: Rc<MirrorService>,
-    config: Rc<ConfigService>,
+    pub(crate) mirrors: Rc<MirrorService>,
+    pub(crate) config: Rc<ConfigService>,
     quotas: Rc<QuotaService>,
-    metrics: Rc<EntryMetrics>,
-    board: RefCell<TargetBoard>,
-    queues: RefCell<BTreeMap<ServiceId, ServiceQueue>>,
+    pub(crate) metrics: Rc<EntryMetrics>,
+    pub(crate) board: RefCell<TargetBoard>,
+    pub(crate) queues: RefCell<BTreeMap<ServiceId, ServiceQueue>>,
     rng: RefCell<fastrand::Rng>,
     policy: Cell<PlacementPolicy>,
-    queue_limit: usize,
-    drains: RefCell<BTreeMap<TargetId, BootTime>>,
+    pub(crate) queue_limit: usize,
+    pub(crate) drains: RefCell<BTreeMap<TargetId, BootTime>>,
     // Slots of cancelled requests, in the order in which they come free.
     cancelled: RefCell<VecDeque<CancelledSlot>>,
 }
@@ -364,115 +357,7 @@
             .any(|entry| entry.queue.len() * 4 > self.queue_limit)
     }
 
-    fn enqueue(
-        &self,
-        context: &RequestContext,
-        waiter: &Rc<Waiter>,
-    ) -> std::result::Result<(), AcquireFailure> {
-        let mut queues = self.queues.borrow_mut();
-        let entry = queues
-            .entry(context.service.clone())
-            .or_insert_with(|| ServiceQueue {
-                queue: FairQueue::new(self.queue_limit),
-                service_time: ASSUMED_SERVICE_TIME.as_secs_f64(),
-            });
-        let pushed = entry.queue.push(
-            context.organisation_name(),
-            context.weight,
-            context.deadline,
-            Rc::clone(waiter),
-        );
-        match pushed {
-            Ok(None) => Ok(()),
-            Ok(Some(evicted)) => {
-                evicted.evicted.set(true);
-                evicted.ready.notify(1);
-                Ok(())
-            }
-            Err(_) => Err(AcquireFailure::Full),
-        }
-    }
-
-    async fn wait_for_lease(
-        &self,
-        waiter: &Waiter,
-    ) -> std::result::Result<SlotLease, AcquireFailure> {
-        loop {
-            let listener = waiter.ready.listen();
-            if let Some(lease) = waiter.lease.borrow_mut().take() {
-                return Ok(lease);
-            }
-            if waiter.evicted.get() {
-                return Err(AcquireFailure::Full);
-            }
-            let left = waiter.deadline.saturating_sub(boot_time());
-            if left.is_zero() {
-                return Err(AcquireFailure::Expired);
-            }
-            let ready = listener.fuse();
-            let elapsed = compio::time::sleep(left).fuse();
-            pin_mut!(ready, elapsed);
-            select_biased! {
-                () = ready => {}
-                () = elapsed => {}
-            }
-        }
-    }
-
-    // Hands free slots to those who wait, in their fair order.
-    fn pump(self: &Rc<Self>, service: &str) {
-        while self.can_place(service) {
-            let Some(waiter) = self.next_waiter(service) else {
-                return;
-            };
-            let affinity = waiter.affinity.as_deref();
-            let lease = self
-                .take_slot(service, &waiter.tried, affinity, waiter.deadline, true)
-                .or_else(|| self.take_slot(service, &[], affinity, waiter.deadline, true));
-            let Some(lease) = lease else {
-                // The free slots are borrowed and end too early for this request.
-                self.put_back(service, waiter);
-                return;
-            };
-            *waiter.lease.borrow_mut() = Some(lease);
-            waiter.ready.notify(1);
-        }
-    }
-
-    fn can_place(&self, service: &str) -> bool {
-        let waiting = {
-            let queues = self.queues.borrow();
-            queues
-                .get(service)
-                .is_some_and(|entry| !entry.queue.is_empty())
-        };
-        waiting && self.pick(service, &[], None, true).is_some()
-    }
-
-    fn next_waiter(&self, service: &str) -> Option<Rc<Waiter>> {
-        let mut expired = Vec::new();
-        let mut queues = self.queues.borrow_mut();
-        let entry = queues.get_mut(service)?;
-        entry.queue.remove(|waiter| waiter.gone.get());
-        let waiter = entry.queue.pop(boot_time(), &mut expired);
-        for waiter in expired {
-            waiter.ready.notify(1);
-        }
-        waiter
-    }
-
-    fn put_back(&self, service: &str, waiter: Rc<Waiter>) {
-        let mut queues = self.queues.borrow_mut();
-        if let Some(entry) = queues.get_mut(service) {
-            let organisation = waiter.organisation.clone();
-            let (weight, deadline) = (waiter.weight, waiter.deadline);
-            entry
-                .queue
-                .push_front(&organisation, weight, deadline, waiter);
-        }
-    }
-
-    fn pick(
+    pub(crate) fn pick(
         &self,
         service: &str,
         tried: &[TargetId],
@@ -495,7 +380,7 @@
         })
     }
 
-    fn take_slot(
+    pub(crate) fn take_slot(
         self: &Rc<Self>,
         service: &str,
         tried: &[TargetId],
@@ -686,77 +571,6 @@
         }
     }
 
-    fn apply_absences(&self) {
-        let commands = self.config.commands();
-        let leaving = self.leaving_targets();
-        let now = boot_time();
-        let changed = self.board.borrow_mut().set_absences(now, |target| {
-            if leaving.contains(&target.name) {
-                return Some(AbsenceCause::Leaving);
-            }
-            let drained = commands.iter().any(|command| drains(command, target));
-            drained.then_some(AbsenceCause::Drained)
-        });
-        for name in changed {
-            let absence = self
-                .board
-                .borrow()
-                .get(&name)
-                .and_then(|record| record.absence);
-            let state = match absence {
-                Some(AbsenceCause::Drained) => "drained",
-                Some(AbsenceCause::Leaving) => "leaving",
-                None => "takes work again",
-            };
-            let mut drains = self.drains.borrow_mut();
-            if absence.is_some() {
-                drains.insert(name.clone(), now);
-            } else {
-                drains.remove(&name);
-            }
-            self.record_target(&name, state);
-        }
-    }
-
-    fn leaving_targets(&self) -> Vec<TargetId> {
-        let leaving = self.mirrors.with_kind(kinds::HOSTS, |mirror| {
-            let mut leaving = Vec::new();
-            for (name, value) in mirror.values() {
-                let Ok(listed) = serde_json::from_str::<ListedHost>(value) else {
-                    continue;
-                };
-                if listed.role == HostRole::Target && listed.state == ListedState::Leaving {
-                    leaving.push(name.clone());
-                }
-            }
-            leaving
-        });
-        leaving.unwrap_or_default()
-    }
-
-    fn note_drains(&self) {
-        let mut ended = Vec::new();
-        {
-            let board = self.board.borrow();
-            for (name, since) in self.drains.borrow().iter() {
-                let idle = board.get(name).is_none_or(|record| record.in_flight == 0);
-                if idle {
-                    ended.push((name.clone(), *since));
-                }
-            }
-        }
-        let now = boot_time();
-        for (name, since) in ended {
-            self.drains.borrow_mut().remove(&name);
-            let seconds = now.saturating_sub(since).as_secs_f64();
-            self.metrics
-                .drain
-                .with_label_values(&[name.as_str()])
-                .observe(seconds);
-            self.record_target(&name, "nothing in flight here");
-        }
-    }
-
     fn set_gauges(&self) {
         let region = self.identity.region.as_str();
         let Some(config) = self.config.config() else {
@@ -780,7 +594,7 @@
         }
     }
 
-    fn record_target(&self, target: &str, state: &str) {
+    pub(crate) fn record_target(&self, target: &str, state: &str) {
         let subject = EventSubject {
             target: Some(target.to_owned()),
             ..EventSubject::default()
@@ -796,15 +610,3 @@
         &self.mesh
     }
 }
-
-fn drains(command: &OperatorCommand, target: &ServiceTarget) -> bool {
-    let OperatorCommand::Drain { scope, name, .. } = command else {
-        return false;
-    };
-    match scope {
-        DrainScope::Target => *name == target.name,
-        DrainScope::Zone => *name == target.zone,
-        DrainScope::Region => *name == target.region,
-        DrainScope::Host => false,
-    }
-}
--- a/crates/quota/src/book.rs
+++ b/crates/quota/src/book.rs
@@ -1,7 +1,8 @@
 //! The book of all quotas that a host holds a share of, and the policy of lending and borrowing.
 
 use crate::{
-    amount::{MicroTokens, QuotaLimit, TOKEN, gain, time_for},
+    amount::{MicroTokens, QuotaLimit, TOKEN, gain},
+    asking::{ASK_MORE_PERCENT, ASK_PAUSE, CAPACITY_TIME, RateEntry, ask_rate, wants_loan},
     base::{BaseHolder, ShareStart},
     demand::DemandRate,
     loan::{LoanAnswer, LoanAsk, LoanMessage, OutgoingLoan, QuotaKey},
@@ -51,22 +52,6 @@
     }
 }
 
-#[derive(Debug)]
-struct RateEntry {
-    ledger: RateLedger,
-    waiting: MicroTokens,
-    asked_at: BootTime,
-    rounds: u32,
-    open_asks: usize,
-    // Tokens that the last round of asking brought, and the rounds in a row without a whole one.
-    round_gain: MicroTokens,
-    empty_rounds: u32,
-    // Tokens that loans bring, as a rate.
-    gained: DemandRate,
-    // Whether the quota is listed as busy.
-    busy: bool,
-}
-
 #[derive(Debug)]
 struct SlotEntry {
     ledger: SlotLedger,
@@ -75,20 +60,8 @@
     busy_at: BootTime,
 }
 
-/// Longest pause between two rounds of asking for the same quota.
-const ASK_PAUSE: Duration = Duration::from_millis(60);
-/// Pause before the next round when all have answered the last one.
-const ANSWERED_PAUSE: Duration = Duration::from_millis(20);
-/// Longest pause before the next round when the last one brought nothing.
-const EMPTY_PAUSE_LIMIT: Duration = Duration::from_millis(200);
-/// Part of the held rate, in percent, at which more is asked for ahead of need.
-const ASK_AHEAD_PERCENT: u64 = 95;
-/// Headroom on the demand that is asked for, in percent.
-const ASK_MORE_PERCENT: u64 = 125;
 /// Time without use after which borrowed slots go back.
 const SLOT_IDLE: Duration = Duration::from_millis(500);
-/// Demand for this long fits into the capacity that is asked for.
-const CAPACITY_TIME: Duration = Duration::from_millis(500);
 
 /// `QuotaBook` holds every share of a host.
 #[derive(Debug)]
@@ -563,73 +536,3 @@
         self.slots.get_mut(key).unwrap_or_else(|| unreachable!())
     }
 }
-
-fn wants_loan(now: BootTime, entry: &mut RateEntry) -> bool {
-    let view = entry.ledger.view(now);
-    if entry.waiting > view.tokens || wants_ahead(&view) {
-        return true;
-    }
-    entry.rounds = 0;
-    entry.open_asks = 0;
-    entry.empty_rounds = 0;
-    false
-}
-
-fn wants_ahead(view: &ShareView) -> bool {
-    let near = view.demand > view.held.rate * ASK_AHEAD_PERCENT / 100;
-    let low = view.tokens < view.held.capacity / 2;
-    near && low && view.demand > TOKEN && view.held.rate < view.limit.rate
-}
-
-// Rounds that find every share spent follow each other ever more slowly, up to the time in which
-// the fleet gains a token.
-fn round_pause(entry: &RateEntry, limit: QuotaLimit) -> Duration {
-    if entry.open_asks > 0 {
-        return ASK_PAUSE;
-    }
-    let refill = time_for(limit.rate, TOKEN).unwrap_or(EMPTY_PAUSE_LIMIT);
-    let longest = refill.clamp(ANSWERED_PAUSE, EMPTY_PAUSE_LIMIT);
-    let pause = ANSWERED_PAUSE * 2_u32.saturating_pow(entry.empty_rounds);
-    pause.min(longest)
-}
-
-// While requests wait, every peer is asked for all that is missing, since shares may all lie with
-// one host; what proves too much goes back soon. Ahead of need, each is asked for twice its part.
-fn ask_rate(
-    now: BootTime,
-    key: &QuotaKey,
-    entry: &mut RateEntry,
-    peers: &[HostId],
-    outgoing: &mut Vec<OutgoingLoan>,
-) {
-    let view = entry.ledger.view(now);
-    let missing_tokens = entry.waiting.saturating_sub(view.tokens);
-    let due = now.saturating_sub(entry.asked_at) >= round_pause(entry, view.limit);
-    if !due || peers.is_empty() {
-        return;
-    }
-    entry.asked_at = now;
-    entry.rounds += 1;
-    entry.open_asks = peers.len();
-    entry.empty_rounds = match entry.round_gain {
-        gain if gain < TOKEN && entry.rounds > 1 => entry.empty_rounds.saturating_add(1),
-        _ => 0,
-    };
-    entry.round_gain = 0;
-    let rate = (view.demand * ASK_MORE_PERCENT / 100).saturating_sub(view.held.rate);
-    let capacity = gain(view.demand, CAPACITY_TIME).saturating_sub(view.held.capacity);
-    let count = u64::try_from(peers.len()).unwrap_or(1);
-    let portion = |amount: u64| {
-        let part = (amount * 2).div_ceil(count);
-        if missing_tokens > 0 { amount } else { part }
-    };
-    let wanted = QuotaLimit {
-        rate: portion(rate),
-        capacity: portion(capacity).max(portion(missing_tokens)),
-    };
-    let tokens = portion(missing_tokens.max(capacity));
-    for peer in peers {
-        let ask = entry.ledger.ask(now, key, wanted, tokens);
-        outgoing.push(OutgoingLoan::new(peer, LoanMessage::Ask(ask)));
-    }
-}
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -33,6 +33,7 @@
 #![forbid(unsafe_code)]
 
 pub mod amount;
+mod asking;
 pub mod base;
 pub mod book;
 pub mod demand;
