--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -44,7 +44,7 @@
             "milliseconds",
             (1, 5_000),
             Some(250),
-            "Longest wait of a request for a loan before it is refused",
+            "Longest wait of a request for a token before it is refused; four times as long within the rate",
         ),
         FieldSpec::integer(
             "lease_ms",
