Take in changes of feeders also after a missed message

Change: objects are taken in one by one, since none depends on another. A kind keeps the version up to which nothing is missing, apart from the latest one; a gap counts as being behind until the store or the other feeder fills it. A feeder says after which version its changes are all, also where the other feeder told it of some of them first. After a store was restored from an older copy the watch starts from that copy's version.

--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -90,6 +90,13 @@
         }
     }
 
+    /// Tells whether an object was taken in at `version` or a later one.
+    pub fn knows(&self, kind: FollowedKind, name: &str, version: Version) -> bool {
+        let taken = self.taken.borrow();
+        let known = taken.get(&(kind, name.to_owned()));
+        known.is_some_and(|known| *known >= version)
+    }
+
     // Changes reach this host from the store and from feeders, in any order: an object is taken in
     // only if it is newer than what was taken before. Notes its version.
     fn is_newer(&self, kind: FollowedKind, name: &str, version: Version) -> bool {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -71,12 +71,24 @@
     // When the last call to the store failed; none after one that was answered.
     failed_at: Cell<Option<BootTime>>,
     behind: Cell<BehindMark>,
-    // Version of the store up to which changes were fed.
-    fed: Cell<Version>,
+    // Version of the store up to which no change is missing.
+    complete: Cell<Version>,
+    // Latest version up to which a feeder told of changes; above `complete` some are missing.
+    told: Cell<Version>,
     kicked: Cell<bool>,
     kick: Event,
 }
 
+impl KindState {
+    fn note_complete(&self, version: Version) {
+        self.complete.set(version.max(self.complete.get()));
+    }
+
+    fn misses_changes(&self) -> bool {
+        self.told.get() > self.complete.get()
+    }
+}
+
 /// `StoreFollower` keeps this host's copies of the store's kinds.
 pub struct StoreFollower {
     dialect: Rc<WireDialect>,
@@ -157,7 +169,7 @@
         let mut pause = FAILURE_PAUSE.0;
         loop {
             self.rest_while_fed(kind, state).await;
-            watch.advance(state.fed.get());
+            watch.advance(state.complete.get());
             let wait = self.wait(kind);
             state.waits_long.set(wait >= LONG_WAIT);
             watch.set_wait(wait);
@@ -271,6 +283,7 @@
                 .is_behind(now, latest, |copies| copies.evacuations),
             FollowedKind::Hosts => false,
         };
+        let behind = behind || state.misses_changes();
         let mut mark = state.behind.get();
         let asks = mark.note(now, behind, state.failed_at.get().is_some());
         state.behind.set(mark);
@@ -314,6 +327,10 @@
         let now = boot_time();
         match step {
             WatchStep::Listed { list, sent_at } => {
+                if let Some(state) = self.kinds.get(&kind) {
+                    state.complete.set(list.version);
+                    state.told.set(list.version);
+                }
                 let names: BTreeSet<_> = list.objects.iter().map(|o| o.name.clone()).collect();
                 for object in &list.objects {
                     self.copies.take_object(kind, now, object);
@@ -328,6 +345,9 @@
             } => {
                 let quiet = changes.is_empty();
                 self.hand_on(kind, version, &changes);
+                if let Some(state) = self.kinds.get(&kind) {
+                    state.note_complete(version);
+                }
                 for change in changes {
                     self.copies.take_change(kind, now, change);
                 }
--- a/crates/gateway/src/follow/feeding.rs
+++ b/crates/gateway/src/follow/feeding.rs
@@ -35,28 +35,34 @@
     }
 
     /// Takes in changes that a feeder handed on. Where some are missing before them, the store is
-    /// asked.
+    /// asked until it, or another feeder, has told them.
     pub fn take_fed(&self, fed: KindChanges) {
         let now = boot_time();
         let Some(state) = self.kinds.get(&fed.kind) else {
             return;
         };
-        if !state.listed.get() || fed.version <= state.fed.get() {
-            return;
-        }
-        let latest = self.copies.latest(fed.kind);
-        if latest < fed.previous {
-            info!(self.logger, "changes missed"; "kind" => format!("{:?}", fed.kind),
-                "latest" => latest, "previous" => fed.previous);
-            self.kick(state);
+        let complete = state.complete.get();
+        if !state.listed.get() || fed.version <= complete {
             return;
         }
+        // Objects do not depend on each other: a later change is taken in without an earlier one.
         for change in fed.changes {
-            if change.version > latest {
+            if !self.copies.knows(fed.kind, &change.name, change.version) {
                 self.copies.take_change(fed.kind, now, change);
             }
         }
-        state.fed.set(fed.version);
+        let missed_before = state.misses_changes();
+        state.told.set(fed.version.max(state.told.get()));
+        if complete >= fed.previous {
+            state.note_complete(fed.version);
+            return;
+        }
+        info!(self.logger, "changes missed"; "kind" => format!("{:?}", fed.kind),
+            "complete" => complete, "previous" => fed.previous);
+        // Further calls are spaced out: the store may turn this host away.
+        if !missed_before {
+            self.kick(state);
+        }
     }
 
     // Hosts that have seen the same changes do not hand them on twice.
@@ -64,12 +70,14 @@
         let now = boot_time();
         let router = self.router.borrow();
         let own = &router.own.host;
-        if changes.is_empty() || !router.fleet.feeders(now, own).contains(own) {
+        let first = changes.iter().map(|change| change.version).min();
+        let Some(first) = first.filter(|_| router.fleet.feeders(now, own).contains(own)) else {
             return;
-        }
+        };
         self.outbox.borrow_mut().push(KindChanges {
             kind,
-            previous: self.copies.latest(kind),
+            // The other feeder may have told of some of these changes already.
+            previous: self.copies.latest(kind).min(first.saturating_sub(1)),
             version,
             changes: changes.to_vec(),
         });
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -44,7 +44,7 @@
         /// Kind.
         #[serde(rename = "k")]
         pub kind: FollowedKind,
-        /// Version of the latest change before these.
+        /// Version after which these are all changes.
         #[serde(rename = "p")]
         pub previous: Version,
         /// Version of the store up to which they are complete.
