Give sockets and HTTP a crate of their own; no circle of imports left

Cause: twelve files of crates/entry imported each other in a circle, and crates/gateway depended on all of crates/entry for its bodies, headers, listeners and pools.

Change: crates/net holds these. A body tells its end to a closure instead of knowing exchanges, and is paced by a closure instead of knowing quotas; slots tell what happens to them to a closure instead of knowing targets. Links are dialled by peer/dial.rs, options and notices of the mesh have files of their own, and messages own the type that they carry. A listening socket that cannot be bound is one error, in one place.

--- a/crates/entry/src/errors.rs
+++ b/crates/entry/src/errors.rs
@@ -12,6 +12,12 @@
         /// All of them.
         findings: FindingList,
     },
+    /// A listening socket failed.
+    #[snafu(display("{source}"), context(false))]
+    Listen {
+        /// Cause.
+        source: fighall_net::errors::Error,
+    },
     /// A file or socket failed.
     #[snafu(display("{what}: {source}"))]
     Io {
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -1,11 +1,11 @@
 //! One exchange with a target or a peer, and what must be given back when it ends.
 
-use crate::{
+use crate::slots::SlotLease;
+use fighall_core::{clock::boot_time, ids::BootTime, value};
+use fighall_net::{
     body::UpstreamBody,
     pool::{ConnectError, ConnectionNeed, ConnectionPool, PooledConnection},
-    slots::SlotLease,
 };
-use fighall_core::{clock::boot_time, ids::BootTime, value};
 use fighall_route::retry::AttemptResult;
 use http::{Request, Response};
 use hyper::body::Incoming;
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -2,14 +2,10 @@
 //! here, at once or not at all.
 
 use crate::{
-    body::{BodyProgress, CallerBody, ProxyBody},
     configuration::ConfigService,
-    headers::{
-        DEADLINE_HEADER, FLEET_HEADER, ORGANISATION_HEADER, REGION_HEADER, REQUEST_HEADER,
-        RUN_HEADER, SERVICE_HEADER, remove_hop_by_hop, remove_own,
-    },
     identity::HostIdentity,
     names,
+    pacing::LinkPace,
     problem::RequestRefusal,
     proxy::{BodyBounds, take_body},
     quotas::QuotaService,
@@ -23,6 +19,13 @@
     ring::EventRing,
 };
 use fighall_kernel::{errors::Result, kernel::MicroKernel};
+use fighall_net::{
+    body::{BodyProgress, CallerBody, ProxyBody},
+    headers::{
+        DEADLINE_HEADER, FLEET_HEADER, ORGANISATION_HEADER, REGION_HEADER, REQUEST_HEADER,
+        RUN_HEADER, SERVICE_HEADER, remove_hop_by_hop, remove_own,
+    },
+};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, uri::PathAndQuery};
 use hyper::body::{Body, Incoming};
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
@@ -192,7 +195,7 @@
             arrived_at,
             deadline,
             idempotent,
-            way_back: Some(self.quotas.pace(&region)),
+            way_back: Some(LinkPace::new(&self.quotas, &region)),
         })
     }
 }
--- a/crates/entry/src/lookups.rs
+++ b/crates/entry/src/lookups.rs
@@ -1,8 +1,8 @@
 //! Look-up for callers: `GET /.fighall/hosts?service=S`.
 
 use crate::{
-    body::ProxyBody, configuration::ConfigService, identity::HostIdentity, names,
-    problem::RequestRefusal, targets::TargetService,
+    configuration::ConfigService, identity::HostIdentity, names, problem::RequestRefusal,
+    targets::TargetService,
 };
 use bytes::Bytes;
 use fighall_config::commands::{DrainScope, OperatorCommand};
@@ -12,6 +12,7 @@
     ids::{BootTime, RegionId},
 };
 use fighall_kernel::{errors::Result, kernel::MicroKernel, stage::LifeStage};
+use fighall_net::body::ProxyBody;
 use fighall_peer::mesh::PeerMesh;
 use fighall_route::lookup::{HostDirectory, HostView, LookupAnswer};
 use http::{
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -7,13 +7,11 @@
     errors::{Error, Result},
     forward::ForwardService,
     identity::HostIdentity,
-    listener::{bind, serve},
     members::MemberService,
     metrics::EntryMetrics,
     mirrors::{MIRRORED, MirrorService},
     names,
     operator::OperatorService,
-    pool::ConnectionPool,
     probes::ProbeService,
     proxy::CallerProxy,
     quotas::QuotaService,
@@ -27,10 +25,16 @@
     ring::EventRing,
 };
 use fighall_kernel::{kernel::MicroKernel, stage::LifeStage};
+use fighall_net::{
+    listener::{bind, serve},
+    pool::ConnectionPool,
+};
 use fighall_peer::{
     accept::accept_links,
-    mesh::{MeshOptions, PeerMesh, PeerNotice},
+    mesh::PeerMesh,
     message::{HeardPeer, HostState, PeerMessage},
+    notice::PeerNotice,
+    options::MeshOptions,
 };
 use fighall_store::client::{ClientOptions, StoreClient};
 use slog::{Logger, info};
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -3,7 +3,6 @@
 
 use crate::{
     authority::KeyAuthority,
-    body::ProxyBody,
     configuration::ConfigService,
     identity::HostIdentity,
     members::MemberService,
@@ -25,6 +24,7 @@
     ring::EventRing,
 };
 use fighall_kernel::{errors::Result, kernel::MicroKernel, stage::LifeStage};
+use fighall_net::body::ProxyBody;
 use fighall_peer::{
     mesh::PeerMesh,
     message::{MirrorDelta, PeerMessage},
--- a/crates/entry/src/pacing.rs
+++ b/crates/entry/src/pacing.rs
@@ -2,6 +2,7 @@
 
 use crate::quotas::{QuotaService, WAIT_STEP, WaitMark};
 use fighall_core::{clock::boot_time, ids::RegionId};
+use fighall_net::body::BodyPace;
 use fighall_quota::{amount::TOKEN, loan::QuotaKey};
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use std::{cell::Cell, rc::Rc, time::Duration};
@@ -22,14 +23,14 @@
 }
 
 impl LinkPace {
-    /// Creates the pace of the link between two regions.
-    pub fn new(quotas: &Rc<QuotaService>, from: &str, to: &str) -> Self {
+    /// Creates the pace of the link from the own region to another one.
+    pub fn new(quotas: &Rc<QuotaService>, to: &str) -> Self {
         Self {
             quotas: Rc::clone(quotas),
             region: to.to_owned(),
             prepaid: Rc::new(Cell::new(0)),
             key: QuotaKey::Link {
-                from: from.to_owned(),
+                from: quotas.identity.region.clone(),
                 to: to.to_owned(),
             },
         }
@@ -81,6 +82,12 @@
         .boxed_local()
     }
 
+    /// Creates the pace of a body that goes into the link.
+    pub fn of_body(&self) -> BodyPace {
+        let pace = self.clone();
+        Rc::new(move |bytes| pace.clone().wait(bytes))
+    }
+
     async fn spend(&self, amount: u64) {
         let quotas = &self.quotas;
         if quotas.spend_link(&self.key, amount) {
--- a/crates/entry/src/places.rs
+++ b/crates/entry/src/places.rs
@@ -5,6 +5,7 @@
     configuration::ConfigService,
     identity::HostIdentity,
     names,
+    pacing::LinkPace,
     problem::RequestRefusal,
     quotas::QuotaService,
     request::RequestContext,
@@ -33,7 +34,7 @@
 #[derive(Debug)]
 pub(crate) enum Place {
     /// A target of this region.
-    Local(SlotLease),
+    Local(Box<SlotLease>),
     /// An entry host of another region.
     Remote {
         /// Region.
@@ -106,7 +107,7 @@
     ) -> std::result::Result<Place, RequestRefusal> {
         if context.way_back.is_some() {
             let lease = self.targets.acquire_now(context, &attempts.targets, true);
-            return lease.map(Place::Local).ok_or_else(|| {
+            return lease.map(Box::new).map(Place::Local).ok_or_else(|| {
                 RequestRefusal::not_run(
                     RefusalReason::NoRoom,
                     "this host holds no free slot for a forwarded request",
@@ -117,7 +118,7 @@
             return Ok(place);
         }
         if let Some(lease) = self.targets.acquire_now(context, &attempts.targets, false) {
-            return Ok(Place::Local(lease));
+            return Ok(Place::Local(Box::new(lease)));
         }
         if let Some(place) = self.choose_remote(context, attempts) {
             return Ok(place);
@@ -133,7 +134,7 @@
     ) -> Option<Place> {
         let lease = self.targets.acquire_now(context, &attempts.targets, true);
         if let Some(lease) = lease {
-            return Some(Place::Local(lease));
+            return Some(Place::Local(Box::new(lease)));
         }
         if context.way_back.is_some() {
             return None;
@@ -155,7 +156,7 @@
             .with_retry_after(Duration::from_secs(1)));
         }
         let acquired = self.targets.acquire(context, &attempts.targets).await;
-        acquired.map(Place::Local).map_err(|failure| {
+        acquired.map(Box::new).map(Place::Local).map_err(|failure| {
             let (evidence, wait) = match failure {
                 AcquireFailure::TooLong { wait } => {
                     ("the wait for a slot would exceed the deadline", wait)
@@ -220,7 +221,7 @@
             age: None,
             round_trip: Duration::MAX,
             reachable: false,
-            link_room: self.quotas.pace(region).has_room(LINK_NEED, LINK_WAIT),
+            link_room: LinkPace::new(&self.quotas, region).has_room(LINK_NEED, LINK_WAIT),
         };
         self.targets.mesh().with_views(|peers| {
             for peer in peers {
--- a/crates/entry/src/probes.rs
+++ b/crates/entry/src/probes.rs
@@ -2,12 +2,10 @@
 //! each costs the target time.
 
 use crate::{
-    body::UpstreamBody,
     configuration::ConfigService,
     exchange::{ExchangeBounds, ExchangeGuard, ReuseFlag, send},
     identity::HostIdentity,
     names,
-    pool::{ConnectionNeed, ConnectionPool},
     targets::TargetService,
 };
 use bytes::Bytes;
@@ -18,6 +16,10 @@
     message, rendezvous,
 };
 use fighall_kernel::{errors::Result, kernel::MicroKernel};
+use fighall_net::{
+    body::UpstreamBody,
+    pool::{ConnectionNeed, ConnectionPool},
+};
 use fighall_peer::mesh::PeerMesh;
 use fighall_route::board::LoadReport;
 use http::Request;
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -1,13 +1,13 @@
 //! Refusals: `application/problem+json` (RFC 9457) with a typed reason and whether the request
 //! may have run.
 
-use crate::{body::ProxyBody, headers::REQUEST_HEADER};
 use bytes::Bytes;
 use fighall_core::{
     event::{RefusalReason, RunState},
     ids::RequestId,
     message, value,
 };
+use fighall_net::{body::ProxyBody, headers::REQUEST_HEADER};
 use http::{
     HeaderValue, Response, StatusCode,
     header::{CONTENT_TYPE, RETRY_AFTER},
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -2,13 +2,8 @@
 
 use crate::{
     authority::KeyAuthority,
-    body::{BodyError, BodyProgress, CallerBody, ProxyBody},
     claims::{ClaimService, HeldClaim},
     configuration::ConfigService,
-    headers::{
-        HOST_HEADER, IDEMPOTENCY_HEADER, REQUEST_HEADER, presented_key, remove_hop_by_hop,
-        remove_key, remove_own, set, target_without_key,
-    },
     identity::HostIdentity,
     lookups::LookupService,
     metrics::EntryMetrics,
@@ -26,6 +21,13 @@
     value,
 };
 use fighall_kernel::{errors::Result, kernel::MicroKernel, stage::LifeStage};
+use fighall_net::{
+    body::{BodyError, BodyProgress, CallerBody, ProxyBody},
+    headers::{
+        HOST_HEADER, IDEMPOTENCY_HEADER, REQUEST_HEADER, presented_key, remove_hop_by_hop,
+        remove_key, remove_own, set, target_without_key,
+    },
+};
 use http::{
     HeaderMap, Request, Response,
     header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING},
--- a/crates/entry/src/quotas.rs
+++ b/crates/entry/src/quotas.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     configuration::ConfigService, identity::HostIdentity, members::MemberService,
-    metrics::EntryMetrics, mirrors::MirrorService, names, pacing::LinkPace,
+    metrics::EntryMetrics, mirrors::MirrorService, names,
 };
 use event_listener::Event;
 use fighall_core::{
@@ -305,11 +305,6 @@
         self.may_spend(now) && self.book.borrow_mut().spend(now, key, TOKEN)
     }
 
-    /// Gets the pace of the link to another region.
-    pub fn pace(self: &Rc<Self>, to: &str) -> LinkPace {
-        LinkPace::new(self, &self.identity.region, to)
-    }
-
     /// Takes a slot of a target for a request that ends by `deadline`.
     pub fn occupy(&self, target: &str, deadline: BootTime) -> Option<SlotTicket> {
         let now = boot_time();
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -1,9 +1,6 @@
 //! A request on its way: what is known of it from its arrival on.
 
-use crate::{
-    body::{BodyProgress, CallerBody},
-    pacing::LinkPace,
-};
+use crate::pacing::LinkPace;
 use bytes::Bytes;
 use fighall_config::service::ServiceRoute;
 use fighall_core::{
@@ -11,6 +8,7 @@
     event::EventSubject,
     ids::{BootTime, OrgId, RequestId, ServiceId},
 };
+use fighall_net::body::{BodyProgress, CallerBody};
 use http::{HeaderMap, Method, uri::PathAndQuery};
 use std::{cell::RefCell, rc::Rc};
 
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -1,18 +1,13 @@
 //! The way of one request: reserve, place, spend, send, and retry where that is safe.
 
 use crate::{
-    body::{AnswerBody, ProxyBody, UpstreamBody},
     configuration::ConfigService,
     exchange::{AttemptFailure, ExchangeBounds, ExchangeGuard, ReuseFlag, send},
-    headers::{
-        DEADLINE_HEADER, FLEET_HEADER, ORGANISATION_HEADER, REGION_HEADER, REQUEST_HEADER,
-        RUN_HEADER, SERVICE_HEADER, remove_hop_by_hop, remove_own, set,
-    },
     identity::HostIdentity,
     metrics::EntryMetrics,
     names,
+    pacing::LinkPace,
     places::{Attempts, Place, PlaceChooser},
-    pool::{ConnectionNeed, ConnectionPool},
     problem::RequestRefusal,
     quotas::{QuotaService, RateRefusal, TokenReservation},
     request::{RequestBody, RequestContext},
@@ -26,6 +21,14 @@
     ring::EventRing,
 };
 use fighall_kernel::{errors::Result, kernel::MicroKernel};
+use fighall_net::{
+    body::{AnswerBody, ProxyBody, UpstreamBody},
+    headers::{
+        DEADLINE_HEADER, FLEET_HEADER, ORGANISATION_HEADER, REGION_HEADER, REQUEST_HEADER,
+        RUN_HEADER, SERVICE_HEADER, remove_hop_by_hop, remove_own, set,
+    },
+    pool::{ConnectionNeed, ConnectionPool},
+};
 use fighall_peer::view::PeerView;
 use fighall_route::retry::{AttemptResult, RetryBudget, RetryDecision, decide};
 use futures_util::{FutureExt, pin_mut, select_biased};
@@ -251,7 +254,7 @@
         reused: &ReuseFlag,
     ) -> std::result::Result<AnsweredExchange, AttemptFailure> {
         match place {
-            Place::Local(lease) => self.send_local(context, lease, fresh, reused).await,
+            Place::Local(lease) => self.send_local(context, *lease, fresh, reused).await,
             Place::Remote { region, peer } => {
                 self.send_remote(context, &region, &peer, fresh, reused)
                     .await
@@ -302,7 +305,7 @@
             RequestBody::Whole(bytes) => bytes.len(),
             RequestBody::Streamed { .. } => 0,
         };
-        let pace = self.quotas.pace(region);
+        let pace = LinkPace::new(&self.quotas, region);
         let paced = compio::time::timeout(context.left(), pace.wait(HEAD_BYTES + length)).await;
         paced.map_err(|_| AttemptFailure::not_run("the link had no room in time"))?;
         let body = self.upstream_body(context, Some(region))?;
@@ -375,7 +378,7 @@
                 let body = body.borrow_mut().take();
                 let body =
                     body.ok_or_else(|| AttemptFailure::not_run("the body was passed on already"))?;
-                let pace = region.map(|region| self.quotas.pace(region));
+                let pace = region.map(|region| LinkPace::new(&self.quotas, region).of_body());
                 Ok(UpstreamBody::passed_on(body, pace))
             }
         }
@@ -400,8 +403,16 @@
             let bytes = self.whole_answer(context, body, guard).await?;
             return Ok(Response::from_parts(parts, ProxyBody::full(bytes)));
         }
-        let body = AnswerBody::new(body, guard);
-        let body = ProxyBody::passed_on(body, context.way_back.clone());
+        let end = |whole| {
+            if whole {
+                guard.finish();
+            } else {
+                guard.fail();
+            }
+        };
+        let body = AnswerBody::new(body, Box::new(end));
+        let pace = context.way_back.as_ref().map(LinkPace::of_body);
+        let body = ProxyBody::passed_on(body, pace);
         Ok(Response::from_parts(parts, body))
     }
 
--- a/crates/entry/src/slots.rs
+++ b/crates/entry/src/slots.rs
@@ -1,6 +1,5 @@
 //! Slots of targets in use by requests, and requests that wait for one.
 
-use crate::targets::TargetService;
 use event_listener::Event;
 use fighall_core::{
     clock::boot_time,
@@ -24,10 +23,25 @@
     pub(crate) held: Duration,
 }
 
-/// `SlotLease` is a slot of a target in use by one request. Dropping it gives the slot free.
+/// `SlotEvent` is what the holder of a slot tells of it.
 #[derive(Debug)]
+pub(crate) enum SlotEvent {
+    /// The target served the request, with the time to the answer's head.
+    Succeeded(Duration),
+    /// The target failed the request.
+    Failed,
+    /// The request has ended at the target.
+    Released(UsedSlot),
+    /// The request was cancelled while the target was at work on it.
+    Cancelled(UsedSlot),
+}
+
+/// Takes in what happens to a slot of the named target.
+pub(crate) type SlotWatcher = Box<dyn Fn(&str, SlotEvent)>;
+
+/// `SlotLease` is a slot of a target in use by one request. Dropping it gives the slot free.
 pub struct SlotLease {
-    pub(crate) targets: Rc<TargetService>,
+    pub(crate) watcher: SlotWatcher,
     /// Target.
     pub target: TargetId,
     /// Address of the target.
@@ -46,10 +60,18 @@
     pub(crate) cancelled: Cell<bool>,
 }
 
+impl std::fmt::Debug for SlotLease {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("SlotLease")
+            .field("target", &self.target)
+            .finish_non_exhaustive()
+    }
+}
+
 impl SlotLease {
     /// Notes that the target served the request, with the time to the answer's head.
     pub fn note_success(&self, latency: Duration) {
-        self.targets.note_success(&self.target, latency);
+        (self.watcher)(&self.target, SlotEvent::Succeeded(latency));
     }
 
     /// Notes that the request is cancelled while the target is at work on it.
@@ -59,7 +81,7 @@
 
     /// Notes that the target failed the request.
     pub fn note_failure(&self) {
-        self.targets.note_failure(&self.target);
+        (self.watcher)(&self.target, SlotEvent::Failed);
     }
 }
 
@@ -75,11 +97,12 @@
             ticket,
             held,
         };
-        if self.cancelled.get() {
-            self.targets.release_later(slot);
+        let event = if self.cancelled.get() {
+            SlotEvent::Cancelled(slot)
         } else {
-            self.targets.release(slot);
-        }
+            SlotEvent::Released(slot)
+        };
+        (self.watcher)(&self.target, event);
     }
 }
 
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -8,7 +8,7 @@
     names,
     quotas::QuotaService,
     request::RequestContext,
-    slots::{SlotLease, UsedSlot, Waiter, WaiterGuard},
+    slots::{SlotEvent, SlotLease, UsedSlot, Waiter, WaiterGuard},
 };
 use event_listener::Event;
 use fighall_config::service::ServiceTarget;
@@ -408,8 +408,9 @@
         let mut board = self.board.borrow_mut();
         let record = board.get_mut(&placement.target)?;
         record.in_flight += 1;
+        let targets = Rc::clone(self);
         Some(SlotLease {
-            targets: Rc::clone(self),
+            watcher: Box::new(move |target, event| targets.take_event(target, event)),
             target: placement.target,
             address: record.target.address,
             region: record.target.region.clone(),
@@ -431,7 +432,16 @@
         (target.connections / members.max(1)).max(1)
     }
 
-    pub(crate) fn release(self: &Rc<Self>, slot: UsedSlot) {
+    fn take_event(self: &Rc<Self>, target: &str, event: SlotEvent) {
+        match event {
+            SlotEvent::Succeeded(latency) => self.note_success(target, latency),
+            SlotEvent::Failed => self.note_failure(target),
+            SlotEvent::Released(slot) => self.release(slot),
+            SlotEvent::Cancelled(slot) => self.release_later(slot),
+        }
+    }
+
+    fn release(self: &Rc<Self>, slot: UsedSlot) {
         self.quotas.release(&slot.target, slot.ticket);
         if let Some(record) = self.board.borrow_mut().get_mut(&slot.target) {
             record.in_flight = record.in_flight.saturating_sub(1);
@@ -445,7 +455,7 @@
 
     // A target learns of a cancellation a little later than this host: until then the request
     // still takes its slot.
-    pub(crate) fn release_later(&self, slot: UsedSlot) {
+    fn release_later(&self, slot: UsedSlot) {
         let cancelled = CancelledSlot {
             slot,
             free_at: boot_time() + CANCEL_TIME,
@@ -469,7 +479,7 @@
         }
     }
 
-    pub(crate) fn note_success(&self, target: &str, latency: Duration) {
+    fn note_success(&self, target: &str, latency: Duration) {
         let now = boot_time();
         let usual = {
             let board = self.board.borrow();
@@ -490,7 +500,7 @@
         }
     }
 
-    pub(crate) fn note_failure(&self, target: &str) {
+    fn note_failure(&self, target: &str) {
         let now = boot_time();
         let mut board = self.board.borrow_mut();
         let ejected = board
--- a/crates/gateway/src/errors.rs
+++ b/crates/gateway/src/errors.rs
@@ -24,7 +24,7 @@
     #[snafu(display("{source}"), context(false))]
     Listen {
         /// Cause.
-        source: fighall_entry::errors::Error,
+        source: fighall_net::errors::Error,
     },
     /// The store's client could not be set up.
     #[snafu(display("{source}"), context(false))]
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -9,8 +9,7 @@
 
 use crate::{
     fleet::peer::{FleetPeer, RegionView},
-    limit::OrgUse,
-    message::{CopyMarks, HostSign, PeerBeat, RegionDigest},
+    message::{CopyMarks, HostSign, OrgUse, PeerBeat, RegionDigest},
     registry::HostEntry,
 };
 use fighall_core::{
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -5,10 +5,10 @@
 //! leaves that peer its equal part of the rate. Near the end of the bucket a host keeps to a fair
 //! part by demand, so that hosts that decide at the same moment do not overdraw it together.
 
-use crate::message::single;
+use crate::message::{OrgUse, single};
 use fighall_core::{
     ids::{BootTime, OrgId},
-    message, value,
+    value,
 };
 use std::{collections::BTreeMap, time::Duration};
 
@@ -34,21 +34,6 @@
 /// Shortest and longest time that a refused caller is asked to wait.
 const RETRY_AFTER: (f64, f64) = (0.1, 2.0);
 
-message! {
-    /// `OrgUse` is one organisation's use of a host, as hosts tell each other.
-    pub struct OrgUse {
-        /// Organisation.
-        #[serde(rename = "o")]
-        pub organisation: OrgId,
-        /// Requests admitted since the host's start.
-        #[serde(rename = "n")]
-        pub admitted: u64,
-        /// Requests a second that ask for admission.
-        #[serde(rename = "q")]
-        pub demand: f32,
-    }
-}
-
 value! {
     /// `OrgLimit` is the rate and burst of an organisation over the fleet.
     #[derive(Copy)]
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,9 +1,8 @@
 //! Messages between hosts, encoded as CBOR in datagrams. Field names are short on the wire: messages
 //! make up a large part of the traffic that is not callers'.
 
-use crate::limit::OrgUse;
 use fighall_core::{
-    ids::{HostId, Incarnation, RegionId, ServiceId, Version},
+    ids::{HostId, Incarnation, OrgId, RegionId, ServiceId, Version},
     message, tag,
 };
 use fighall_store::object::ObjectChange;
@@ -100,6 +99,21 @@
     }
 }
 
+message! {
+    /// `OrgUse` is one organisation's use of a host, as hosts tell each other.
+    pub struct OrgUse {
+        /// Organisation.
+        #[serde(rename = "o")]
+        pub organisation: OrgId,
+        /// Requests admitted since the host's start.
+        #[serde(rename = "n")]
+        pub admitted: u64,
+        /// Requests a second that ask for admission.
+        #[serde(rename = "q")]
+        pub demand: f32,
+    }
+}
+
 message! {
     /// `PeerBeat` is what a host tells every other one of its region, several times a second.
     pub struct PeerBeat {
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -10,7 +10,7 @@
     settings::GatewayBounds,
 };
 use fighall_core::message;
-use fighall_entry::headers::{
+use fighall_net::headers::{
     DEADLINE_HEADER, ORGANISATION_HEADER, REQUEST_HEADER, RUN_HEADER, presented_key, remove_key,
     remove_own, set,
 };
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -25,15 +25,15 @@
     clock::{boot_time, wall_millis},
     ids::{BootTime, Incarnation, Version},
 };
-use fighall_entry::{
-    body::ProxyBody,
-    listener::{bind, serve},
-    pool::ConnectionPool,
-};
 use fighall_kernel::{
     kernel::{MicroKernel, SIGHUP, SIGTERM, hold_signal},
     stage::LifeStage,
 };
+use fighall_net::{
+    body::ProxyBody,
+    listener::{bind, serve},
+    pool::ConnectionPool,
+};
 use fighall_store::client::{ClientOptions, StoreClient};
 use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
 use hyper::body::Incoming;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,8 +8,10 @@
     fleet::Admissions,
     follow::StoreFollower,
     knowledge::PolicyCopy,
-    limit::{OrgLimit, OrgUse},
-    message::{BeatEcho, HostSign, KindChanges, PeerBeat, PeerMessage, RegionDigest, single},
+    limit::OrgLimit,
+    message::{
+        BeatEcho, HostSign, KindChanges, OrgUse, PeerBeat, PeerMessage, RegionDigest, single,
+    },
     names,
     router::{RequestRouter, org_limit},
     settings::GatewaySettings,
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -18,8 +18,8 @@
 };
 use bytes::Bytes;
 use fighall_core::{clock::boot_time, ids::BootTime};
-use fighall_entry::{body::ProxyBody, pool::ConnectionPool};
 use fighall_kernel::{errors::Result, kernel::MicroKernel, stage::LifeStage};
+use fighall_net::{body::ProxyBody, pool::ConnectionPool};
 use http::{
     HeaderValue, Request, Response,
     header::{CONNECTION, HOST},
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -7,7 +7,7 @@
 };
 use bytes::Bytes;
 use fighall_core::{clock::boot_time, ids::BootTime, value};
-use fighall_entry::{
+use fighall_net::{
     body::UpstreamBody,
     headers::remove_hop_by_hop,
     pool::{ConnectError, ConnectionNeed, ConnectionPool, PooledConnection},
--- a/crates/entry/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,6 +1,5 @@
 //! Bodies on their way through: the caller's towards the target, and the target's answer.
 
-use crate::{exchange::ExchangeGuard, pacing::LinkPace};
 use bytes::Bytes;
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use http_body_util::Full;
@@ -147,6 +146,11 @@
     Paced(Box<PacedBody<B>>),
 }
 
+/// Waits until a number of bytes may be sent.
+pub type BodyPace = Rc<dyn Fn(usize) -> LocalBoxFuture<'static, ()>>;
+/// Is told at the end of an answer whether it was whole, and dropped where nobody reads it to its end.
+pub type AnswerEnd = Box<dyn FnOnce(bool)>;
+
 /// `UpstreamBody` is what is sent to a target or a peer.
 pub type UpstreamBody = RelayBody<CallerBody>;
 /// `ProxyBody` is what a caller or a forwarding peer is sent.
@@ -159,7 +163,7 @@
     }
 
     /// Creates a body that is passed on, at the pace of a link where one is given.
-    pub fn passed_on(body: B, pace: Option<LinkPace>) -> Self {
+    pub fn passed_on(body: B, pace: Option<BodyPace>) -> Self {
         match pace {
             None => Self::Streamed(Box::new(body)),
             Some(pace) => Self::Paced(Box::new(PacedBody::new(body, pace))),
@@ -207,7 +211,7 @@
 /// `PacedBody` passes frames on only as this host's share of a link allows.
 pub struct PacedBody<B> {
     body: B,
-    pace: LinkPace,
+    pace: BodyPace,
     held: Option<Frame<Bytes>>,
     waiting: Option<LocalBoxFuture<'static, ()>>,
 }
@@ -220,7 +224,7 @@
 
 impl<B> PacedBody<B> {
     /// Wraps a body.
-    pub fn new(body: B, pace: LinkPace) -> Self {
+    pub fn new(body: B, pace: BodyPace) -> Self {
         Self {
             body,
             pace,
@@ -253,7 +257,7 @@
                 Poll::Ready(Some(Ok(frame))) => {
                     let bytes = frame.data_ref().map_or(0, Bytes::len);
                     self.held = Some(frame);
-                    self.waiting = Some(self.pace.clone().wait(bytes));
+                    self.waiting = Some((self.pace)(bytes));
                 }
                 other => return other,
             }
@@ -271,28 +275,37 @@
 
 /// `AnswerBody` is a target's body with what must be given back when it ends. A cut body ends in
 /// an error, so that the caller's connection breaks rather than ending as if whole.
-#[derive(Debug)]
 pub struct AnswerBody {
     body: Incoming,
-    guard: Option<ExchangeGuard>,
+    end: Option<AnswerEnd>,
+}
+
+impl std::fmt::Debug for AnswerBody {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("AnswerBody").finish_non_exhaustive()
+    }
 }
 
 impl AnswerBody {
-    /// Wraps a body; the guard goes back when it has ended.
-    pub fn new(body: Incoming, guard: ExchangeGuard) -> Self {
+    /// Wraps a body; `end` is called when it has ended.
+    pub fn new(body: Incoming, end: AnswerEnd) -> Self {
         let mut answer = Self {
             body,
-            guard: Some(guard),
+            end: Some(end),
         };
         answer.finish_if_ended();
         answer
     }
 
     fn finish_if_ended(&mut self) {
-        if self.body.is_end_stream()
-            && let Some(guard) = self.guard.take()
-        {
-            guard.finish();
+        if self.body.is_end_stream() {
+            self.finish(true);
+        }
+    }
+
+    fn finish(&mut self, whole: bool) {
+        if let Some(end) = self.end.take() {
+            end(whole);
         }
     }
 }
@@ -311,16 +324,12 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => {
-                if let Some(guard) = self.guard.take() {
-                    guard.fail();
-                }
+                self.finish(false);
                 let cause = error.to_string();
                 Poll::Ready(Some(Err(BodyError::Cut { cause })))
             }
             Poll::Ready(None) => {
-                if let Some(guard) = self.guard.take() {
-                    guard.finish();
-                }
+                self.finish(true);
                 Poll::Ready(None)
             }
             Poll::Pending => Poll::Pending,
--- a/crates/entry/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -33,7 +33,7 @@
 /// Returns an error that names the address.
 pub async fn bind(address: SocketAddr) -> Result<TcpListener> {
     let listener = TcpListener::bind(address).await;
-    listener.map_err(|error| Error::io(format!("listening on {address}"), error))
+    listener.map_err(|source| Error::Listen { address, source })
 }
 
 /// Serves the connections of a listener until the process refuses new ones. `pause` gets how long a new
@@ -80,9 +80,10 @@
     H: Fn(Request<Incoming>, IpAddr) -> F,
     F: Future<Output = Response<ProxyBody>>,
 {
-    if stream.set_nodelay(true).is_err() {
+    // These fail only on a connection that its caller has reset already.
+    let Ok(()) = stream.set_nodelay(true) else {
         return;
-    }
+    };
     let Ok(stream) = SocketStream::new(stream) else {
         return;
     };
--- a/crates/entry/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -1,10 +1,9 @@
 //! Connections to targets and peers. One connection carries one exchange at a time; one that was
 //! cancelled or cut is dropped, so that a late answer meets nobody else's request.
 
-use crate::{body::UpstreamBody, stream::SocketStream};
+use crate::{body::UpstreamBody, socket::connect, stream::SocketStream};
 use compio::net::TcpStream;
 use fighall_core::{clock::boot_time, ids::BootTime, value};
-use fighall_peer::socket::connect;
 use hyper::client::conn::http1::{self, SendRequest};
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
--- a/crates/peer/src/accept.rs
+++ b/crates/peer/src/accept.rs
@@ -4,8 +4,9 @@
     codec::MessageLink,
     dial::within,
     errors::{Error, Result},
-    mesh::{HeardSender, PeerMesh, PeerNotice},
+    mesh::{HeardSender, PeerMesh},
     message::{LinkAck, LinkChallenge, LinkHello, LinkWelcome, PeerEnvelope, PeerMessage},
+    notice::PeerNotice,
     proof,
 };
 use compio::net::{TcpListener, TcpStream};
--- a/crates/peer/src/dial.rs
+++ b/crates/peer/src/dial.rs
@@ -1,19 +1,20 @@
-//! The task of one dialled link: connect, hello, then heartbeats and messages until it breaks.
+//! The links that a host dials, and the task of each: connect, hello, then heartbeats and messages until it breaks.
 
 use crate::{
     codec::MessageLink,
     errors::{Error, Result},
-    mesh::{PeerMesh, PeerNotice},
-    message::{LinkAck, LinkChallenge, LinkHello, LinkWelcome, PeerMessage},
+    mesh::{PeerEntry, PeerMesh},
+    message::{HostState, LinkAck, LinkChallenge, LinkHello, LinkWelcome, PeerMessage},
+    notice::PeerNotice,
     outbox::PeerOutbox,
     proof,
-    socket::connect,
-    view::LinkState,
+    view::{LinkState, PeerAddress, PeerView},
 };
 use fighall_core::{
     clock::boot_time,
     ids::{BootTime, HostId, Incarnation},
 };
+use fighall_net::socket::connect;
 use futures_util::{FutureExt, pin_mut, select_biased};
 use std::{cell::RefCell, collections::VecDeque, future::Future, rc::Rc, time::Duration};
 
@@ -24,6 +25,58 @@
 /// Most messages that go out before acknowledgements are read.
 const BATCH_LIMIT: usize = 64;
 
+impl PeerMesh {
+    /// Sets the peers to which links are kept. New ones are dialled; links to others end.
+    pub fn set_peers(self: &Rc<Self>, wanted: &[PeerAddress]) {
+        let mut started = Vec::new();
+        {
+            let mut peers = self.peers.borrow_mut();
+            peers.retain(|host, entry| {
+                let kept = wanted.iter().any(|peer| peer.host == *host);
+                // A link task ends when it finds its entry gone.
+                if !kept {
+                    entry.outbox.borrow_mut().clear();
+                }
+                kept
+            });
+            for address in wanted {
+                if address.host == self.options.host {
+                    continue;
+                }
+                if let Some(entry) = peers.get_mut(&address.host) {
+                    entry.view.peer = address.clone();
+                    continue;
+                }
+                let outbox = PeerOutbox::new(self.options.queue_limit);
+                let outbox = Rc::new(RefCell::new(outbox));
+                let view = new_view(address);
+                let entry = PeerEntry {
+                    view,
+                    outbox: Rc::clone(&outbox),
+                };
+                peers.insert(address.host.clone(), entry);
+                started.push((address.host.clone(), outbox));
+            }
+        }
+        for (host, outbox) in started {
+            let mesh = Rc::clone(self);
+            self.kernel.spawn_service(keep_link(mesh, host, outbox));
+        }
+    }
+}
+
+fn new_view(address: &PeerAddress) -> PeerView {
+    PeerView {
+        peer: address.clone(),
+        link: LinkState::Dialling,
+        heard_incarnation: None,
+        heard_at: None,
+        state: HostState::default(),
+        round_trip: Duration::ZERO,
+        dropped: 0,
+    }
+}
+
 /// Keeps the link to a peer up until the peer is no longer wanted.
 pub(crate) async fn keep_link(mesh: Rc<PeerMesh>, host: HostId, outbox: Rc<RefCell<PeerOutbox>>) {
     let mut pause = REDIAL_PAUSE;
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -1,8 +1,9 @@
 //! The mesh: all links of a host, the states of its peers, and the inbox of their messages.
 
 use crate::{
-    dial,
     message::{HostState, PeerMessage},
+    notice::PeerNotice,
+    options::MeshOptions,
     outbox::PeerOutbox,
     view::{LinkState, PeerAddress, PeerView},
 };
@@ -10,97 +11,18 @@
 use fighall_core::{
     clock::boot_time,
     event::{EventKind, EventSubject},
-    ids::{BootTime, HostId, Incarnation, RegionId, ZoneId},
+    ids::{BootTime, HostId, Incarnation},
     ring::EventRing,
-    secret::SecretText,
-    value,
 };
 use fighall_kernel::kernel::MicroKernel;
 use fighall_store::mirror::MirrorState;
 use std::{
     cell::RefCell,
     collections::{BTreeMap, VecDeque},
-    net::IpAddr,
     rc::Rc,
     time::Duration,
 };
 
-value! {
-    /// `MeshOptions` are a host's identity and the bounds of its links.
-    pub struct MeshOptions {
-        /// This host.
-        pub host: HostId,
-        /// Its incarnation.
-        pub incarnation: Incarnation,
-        /// Its region.
-        pub region: RegionId,
-        /// Its availability zone.
-        pub zone: ZoneId,
-        /// Address that links are dialled from; by default the system picks it.
-        pub source: Option<IpAddr>,
-        /// The fleet's secret.
-        pub secret: SecretText,
-        /// Interval of heartbeats.
-        pub heartbeat: Duration,
-        /// Silence after which a link is dropped.
-        pub silence: Duration,
-        /// Most messages queued to one peer.
-        pub queue_limit: usize,
-        /// Most messages queued in the inbox.
-        pub inbox_limit: usize,
-    }
-}
-
-impl MeshOptions {
-    /// Creates options with the usual bounds.
-    pub fn with_host(host: &str, incarnation: Incarnation, secret: SecretText) -> Self {
-        Self {
-            host: host.to_owned(),
-            incarnation,
-            region: String::new(),
-            zone: String::new(),
-            source: None,
-            secret,
-            heartbeat: Duration::from_millis(300),
-            silence: Duration::from_millis(1_500),
-            queue_limit: 4_096,
-            inbox_limit: 65_536,
-        }
-    }
-}
-
-value! {
-    /// `PeerNotice` is an item of the inbox.
-    pub enum PeerNotice {
-        /// A message of a peer.
-        Received {
-            /// Sender.
-            peer: HostId,
-            /// Message.
-            message: PeerMessage,
-        },
-        /// A peer told how far its mirrors are. It was no earlier than `sent_at`.
-        Confirmed {
-            /// Peer.
-            peer: HostId,
-            /// Its mirrors.
-            mirrors: Vec<MirrorState>,
-            /// When the heartbeat was sent that it answers.
-            sent_at: BootTime,
-        },
-        /// A link came up.
-        Up {
-            /// Peer.
-            peer: HostId,
-        },
-        /// A link went down.
-        Down {
-            /// Peer.
-            peer: HostId,
-        },
-    }
-}
-
 pub(crate) struct PeerEntry {
     pub(crate) view: PeerView,
     pub(crate) outbox: Rc<RefCell<PeerOutbox>>,
@@ -160,45 +82,6 @@
         })
     }
 
-    /// Sets the peers to which links are kept. New ones are dialled; links to others end.
-    pub fn set_peers(self: &Rc<Self>, wanted: &[PeerAddress]) {
-        let mut started = Vec::new();
-        {
-            let mut peers = self.peers.borrow_mut();
-            peers.retain(|host, entry| {
-                let kept = wanted.iter().any(|peer| peer.host == *host);
-                // A link task ends when it finds its entry gone.
-                if !kept {
-                    entry.outbox.borrow_mut().clear();
-                }
-                kept
-            });
-            for address in wanted {
-                if address.host == self.options.host {
-                    continue;
-                }
-                if let Some(entry) = peers.get_mut(&address.host) {
-                    entry.view.peer = address.clone();
-                    continue;
-                }
-                let outbox = PeerOutbox::new(self.options.queue_limit);
-                let outbox = Rc::new(RefCell::new(outbox));
-                let view = new_view(address);
-                let entry = PeerEntry {
-                    view,
-                    outbox: Rc::clone(&outbox),
-                };
-                peers.insert(address.host.clone(), entry);
-                started.push((address.host.clone(), outbox));
-            }
-        }
-        for (host, outbox) in started {
-            let mesh = Rc::clone(self);
-            self.kernel
-                .spawn_service(dial::keep_link(mesh, host, outbox));
-        }
-    }
-
     /// Queues a message to a peer. Returns false when the peer is unknown or its queue is full.
     pub fn send(&self, peer: &str, message: PeerMessage) -> bool {
         let stamp = self.ring.stamp();
@@ -393,15 +276,3 @@
         Some(self.peers.borrow().get(peer)?.view.peer.clone())
     }
 }
-
-fn new_view(address: &PeerAddress) -> PeerView {
-    PeerView {
-        peer: address.clone(),
-        link: LinkState::Dialling,
-        heard_incarnation: None,
-        heard_at: None,
-        state: HostState::default(),
-        round_trip: Duration::ZERO,
-        dropped: 0,
-    }
-}
--- a/crates/testkit/tests/links.rs
+++ b/crates/testkit/tests/links.rs
@@ -7,8 +7,10 @@
 use fighall_kernel::kernel::MicroKernel;
 use fighall_peer::{
     accept::accept_links,
-    mesh::{MeshOptions, PeerMesh, PeerNotice},
+    mesh::PeerMesh,
     message::PeerMessage,
+    notice::PeerNotice,
+    options::MeshOptions,
     view::{LinkState, PeerAddress},
 };
 use fighall_testkit::relay::FaultRelay;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub use fighall_entry as entry;
 pub use fighall_kernel as kernel;
 pub use fighall_membership as membership;
+pub use fighall_net as net;
 pub use fighall_peer as peer;
 pub use fighall_quota as quota;
 pub use fighall_route as route;
