Serve pipelined requests with a safe method beside each other

Change: a connection's requests are told apart below hyper (framing.rs, pipeline.rs in crates/net). While one is served, those behind it with a safe method and no body start as well (RFC 9112, 9.3.2); hyper still reads them one by one and writes the answers in order. What may run at most once waits for its turn. An answer does not close a connection on which others run; a stop answers all that were started and begins no other; a caller that leaves ends all of them, also while requests wait behind the first.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -31,7 +31,7 @@
 };
 use fighall_net::{
     body::ProxyBody,
-    listener::{bind, serve},
+    listener::{bind, serve, serve_pipelined},
     pool::ConnectionPool,
 };
 use fighall_store::client::{ClientOptions, StoreClient};
@@ -203,17 +203,17 @@
         let kernel = &self.kernel;
         let proxy = Rc::new(CallerProxy::new(kernel)?);
         let policy = Rc::clone(&self.policy);
-        let callers = serve(
+        let callers = serve_pipelined(
             Rc::clone(kernel),
             listeners.callers,
             move || {
                 let policy = policy.borrow().policy();
                 policy.map_or(CallerLimits::default().idle, |policy| policy.limits.idle)
             },
-            move |request, _| {
+            move |request, turn| {
                 let proxy = Rc::clone(&proxy);
                 // Boxed, as hyper keeps room for the future also while a connection is idle.
-                async move { Box::pin(proxy.serve(request)).await }
+                async move { Box::pin(proxy.serve(request, turn)).await }
             },
         );
         kernel.spawn_service(callers);
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -19,12 +19,15 @@
 use bytes::Bytes;
 use fighall_core::{clock::boot_time, ids::BootTime};
 use fighall_kernel::{errors::Result, kernel::MicroKernel, stage::LifeStage};
-use fighall_net::{body::ProxyBody, pool::ConnectionPool};
+use fighall_net::{
+    body::{CallerContent, ProxyBody},
+    pipeline::RequestTurn,
+    pool::ConnectionPool,
+};
 use http::{
     HeaderValue, Request, Response,
     header::{CONNECTION, HOST},
 };
-use hyper::body::Incoming;
 use slog::{Logger, info};
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
@@ -81,15 +84,17 @@
         })
     }
 
-    /// Serves one request.
-    pub async fn serve(&self, request: Request<Incoming>) -> Response<ProxyBody> {
+    /// Serves one request. One that may run at most once is sent only in its `turn`.
+    pub async fn serve(
+        &self,
+        request: Request<CallerContent>,
+        turn: RequestTurn,
+    ) -> Response<ProxyBody> {
         let arrived_at = boot_time();
         let marks = (self.dialect.read_caller)(request.headers());
         let id = marks.request.clone();
         let mut route_name = String::new();
-        let result = self
-            .handle(request, marks, arrived_at, &mut route_name)
-            .await;
+        let result = self.handle(request, marks, &turn, &mut route_name).await;
         let now = boot_time();
         let outcome = match &result {
             Ok(answer) => format!("answered {}", answer.status.as_u16()),
@@ -138,11 +143,12 @@
 
     async fn handle(
         &self,
-        request: Request<Incoming>,
+        request: Request<CallerContent>,
         marks: CallerMarks,
-        arrived_at: BootTime,
+        turn: &RequestTurn,
         route_name: &mut String,
     ) -> std::result::Result<WholeAnswer, RequestRefusal> {
+        let arrived_at = boot_time();
         if !self.follower.is_complete() {
             return Err(unready());
         }
@@ -150,6 +156,9 @@
         let policy = policy.ok_or_else(unready)?;
         let route = self.find_route(&policy, &request, arrived_at)?;
         route_name.clone_from(&route.name);
+        if !route.idempotent {
+            turn.reached().await;
+        }
         let organisation = self.find_organisation(&policy, &route, &marks, arrived_at)?;
         if let Some(organisation) = &organisation {
             let admitted = self.router.borrow_mut().admit(arrived_at, organisation);
@@ -195,7 +204,7 @@
     fn find_route(
         &self,
         policy: &TrafficPolicy,
-        request: &Request<Incoming>,
+        request: &Request<CallerContent>,
         now: BootTime,
     ) -> std::result::Result<RoutePolicy, RequestRefusal> {
         let host = request.headers().get(HOST);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -11,9 +11,9 @@
     ids::{BootTime, TargetId},
     tag,
 };
+use fighall_net::body::CallerContent;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use std::time::Duration;
 
 /// Time after which a caller may come back to a host that cannot serve it yet.
@@ -113,7 +113,7 @@
 }
 
 pub(crate) async fn prepare(
-    request: Request<Incoming>,
+    request: Request<CallerContent>,
     marks: &CallerMarks,
     limit: usize,
 ) -> std::result::Result<PreparedRequest, RequestRefusal> {
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -2,6 +2,11 @@
 
 mod support;
 
+use compio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+use fighall_core::clock::boot_time;
 use fighall_testkit::faults::StoreFaults;
 use std::{cell::Cell, rc::Rc, time::Duration};
 use support::{KEY, TestFleet, list, send};
@@ -306,3 +311,50 @@
         assert_eq!(statuses, [200, 502, 200, 200]);
     });
 }
+
+// Regression: the requests of a caller that pipelines were answered one after the other, and most of
+// those behind the first one came too late.
+#[test]
+fn pipelined_reads_run_at_once_and_writes_in_their_turn() {
+    run(async {
+        let fleet = TestFleet::start(2, "").await;
+        fleet.publish(|_| {}).await;
+        let work = Duration::from_millis(300);
+        for target in &fleet.targets {
+            target.change(|behaviour| behaviour.service_us = 300_000);
+        }
+        let mut stream = TcpStream::connect(fleet.callers).await.expect("connected");
+        let mut text = String::new();
+        for (number, path) in ["/read/a", "/read/b", "/write/c", "/read/d"]
+            .iter()
+            .enumerate()
+        {
+            text.push_str(&format!(
+                "GET {path} HTTP/1.1\r\nhost: quotes.example\r\nx-mark: p{number}\r\n\
+                 fighall-request: p{number}\r\nauthorization: Bearer {KEY}\r\n\r\n"
+            ));
+        }
+        let started_at = boot_time();
+        stream.write_all(text.into_bytes()).await.0.expect("sent");
+        let mut answers = String::new();
+        while answers.matches("HTTP/1.1 200").count() < 4 {
+            let chunk = Vec::with_capacity(4_096);
+            let compio::BufResult(read, chunk) = stream.append(chunk).await;
+            assert!(read.is_ok_and(|read| read > 0), "cut after {answers}");
+            answers.push_str(&String::from_utf8_lossy(&chunk));
+        }
+        let elapsed = boot_time().saturating_sub(started_at);
+        // The write starts after the two reads before it, the read behind it at once.
+        assert!(
+            elapsed < work * 5 / 2,
+            "{elapsed:?} for two steps of {work:?}"
+        );
+        let order: Vec<_> = (0..4)
+            .map(|number| answers.find(&format!("\"p{number}\"")))
+            .collect();
+        assert!(order.is_sorted() && order[0].is_some(), "{order:?}");
+        for number in 0..4 {
+            assert_eq!(fleet.runs(&format!("p{number}")), 1);
+        }
+    });
+}
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use futures_util::{FutureExt, future::LocalBoxFuture};
-use http_body_util::Full;
+use http_body_util::{Either, Empty, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use snafu::Snafu;
 use std::{
@@ -146,6 +146,8 @@
     Paced(Box<PacedBody<B>>),
 }
 
+/// `CallerContent` is a caller's body as it arrives; none is read of a request that was started early.
+pub type CallerContent = Either<Incoming, Empty<Bytes>>;
 /// Waits until a number of bytes may be sent.
 pub type BodyPace = Rc<dyn Fn(usize) -> LocalBoxFuture<'static, ()>>;
 /// Is told at the end of an answer whether it was whole, and dropped where nobody reads it to its end.
--- /dev/null
+++ b/crates/net/src/framing.rs
@@ -0,0 +1,114 @@
+//! Where requests begin and end in the bytes of a connection (RFC 9112, section 6).
+
+use crate::listener::{HEAD_LIMIT, HEADER_LIMIT};
+use http::{
+    HeaderName, HeaderValue, Method, Request, Version,
+    header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING, UPGRADE},
+    request::Parts,
+};
+use httparse::Status;
+
+/// `RequestFrame` tells how much of a connection one request takes.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestFrame {
+    /// Bytes of the head.
+    pub head_length: usize,
+    /// Bytes of the body.
+    pub body_length: u64,
+    /// Whether the method changes nothing at the target (RFC 9110, section 9.2.1).
+    pub is_safe: bool,
+    /// Whether the connection ends after the request's answer.
+    pub is_last: bool,
+}
+
+/// `FrameStep` is what the next bytes of a connection hold.
+#[derive(Debug, Clone, Copy)]
+pub enum FrameStep {
+    /// A part of a head.
+    Partial,
+    /// A whole head.
+    Whole(RequestFrame),
+    /// A head whose request ends at a place that cannot be told from it, or no head.
+    Unframed,
+}
+
+impl RequestFrame {
+    /// Gets the bytes that the request takes.
+    pub fn length(&self) -> u64 {
+        let head = u64::try_from(self.head_length).unwrap_or(u64::MAX);
+        head.saturating_add(self.body_length)
+    }
+
+    /// Tells whether the request may be served beside others: it changes nothing, and has no body that
+    /// would have to be read first (RFC 9112, section 9.3.2).
+    pub fn may_run_beside(&self) -> bool {
+        self.is_safe && self.body_length == 0
+    }
+}
+
+/// Reads where the request ends that begins with `bytes`.
+pub fn read_frame(bytes: &[u8]) -> FrameStep {
+    let mut headers = [httparse::EMPTY_HEADER; HEADER_LIMIT];
+    let mut parsed = httparse::Request::new(&mut headers);
+    match parsed.parse(bytes) {
+        Ok(Status::Complete(length)) => {
+            new_frame(&parsed, length).map_or(FrameStep::Unframed, FrameStep::Whole)
+        }
+        Ok(Status::Partial) if bytes.len() < HEAD_LIMIT => FrameStep::Partial,
+        Ok(Status::Partial) | Err(_) => FrameStep::Unframed,
+    }
+}
+
+/// Reads the whole head of the request that begins with `bytes`.
+pub fn read_parts(bytes: &[u8]) -> Option<Parts> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADER_LIMIT];
+    let mut parsed = httparse::Request::new(&mut headers);
+    if parsed.parse(bytes).ok()?.is_partial() {
+        return None;
+    }
+    let mut parts = Request::new(()).into_parts().0;
+    parts.method = parsed.method?.parse().ok()?;
+    parts.uri = parsed.path?.parse().ok()?;
+    parts.version = version(&parsed);
+    for header in parsed.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        let value = HeaderValue::from_bytes(header.value).ok()?;
+        parts.headers.append(name, value);
+    }
+    Some(parts)
+}
+
+fn version(parsed: &httparse::Request<'_, '_>) -> Version {
+    match parsed.version {
+        Some(1) => Version::HTTP_11,
+        _ => Version::HTTP_10,
+    }
+}
+
+fn new_frame(parsed: &httparse::Request<'_, '_>, head_length: usize) -> Option<RequestFrame> {
+    let method: Method = parsed.method?.parse().ok()?;
+    let mut body_length = None;
+    let mut closes = version(parsed) != Version::HTTP_11;
+    for header in parsed.headers.iter() {
+        let is = |name: &HeaderName| header.name.eq_ignore_ascii_case(name.as_str());
+        if is(&TRANSFER_ENCODING) || is(&UPGRADE) {
+            return None;
+        }
+        let text = std::str::from_utf8(header.value);
+        if is(&CONTENT_LENGTH) {
+            let length: u64 = text.ok()?.trim().parse().ok()?;
+            if body_length.replace(length).is_some() {
+                return None;
+            }
+        } else if is(&CONNECTION) {
+            let mut options = text.ok()?.split(',');
+            closes |= options.any(|option| option.trim().eq_ignore_ascii_case("close"));
+        }
+    }
+    (method != Method::CONNECT).then_some(RequestFrame {
+        head_length,
+        body_length: body_length.unwrap_or(0),
+        is_safe: method.is_safe(),
+        is_last: closes,
+    })
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod body;
 pub mod errors;
+pub mod framing;
 pub mod headers;
 pub mod listener;
+pub mod pipeline;
 pub mod pool;
 pub mod socket;
 pub mod stream;
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -1,8 +1,9 @@
 //! Listening sockets: one task for each connection.
 
 use crate::{
-    body::ProxyBody,
+    body::{CallerContent, ProxyBody},
     errors::{Error, Result},
+    pipeline::{PipelinedStream, RequestPipeline, RequestTurn},
     stream::SocketStream,
 };
 use compio::net::{TcpListener, TcpStream};
@@ -10,10 +11,16 @@
 use fighall_kernel::{kernel::MicroKernel, stage::LifeStage};
 use futures_util::{FutureExt, pin_mut, select_biased};
 use http::{Request, Response};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use http_body_util::Empty;
+use hyper::{
+    body::Incoming,
+    rt::{Read, Write},
+    server::conn::http1,
+    service::{HttpService, service_fn},
+};
 use std::{
     convert::Infallible,
-    future::Future,
+    future::{Future, ready},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -22,9 +29,9 @@
 /// Pause after a failed accept, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Most headers of a request.
-const HEADER_LIMIT: usize = 100;
+pub const HEADER_LIMIT: usize = 100;
 /// Largest head of a request, in bytes.
-const HEAD_LIMIT: usize = 64 * 1_024;
+pub const HEAD_LIMIT: usize = 64 * 1_024;
 
 /// Binds a listening socket.
 ///
@@ -46,6 +53,77 @@
 ) where
     H: Fn(Request<Incoming>, IpAddr) -> F + Clone + 'static,
     F: Future<Output = Response<ProxyBody>> + 'static,
+{
+    let run = |kernel: Rc<MicroKernel>, stream, remote: SocketAddr| {
+        let (pause, handler) = (pause(), handler.clone());
+        async move {
+            let service = service_fn(|request| {
+                let answer = handler(request, remote.ip());
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            let connection = protocol(pause).serve_connection(stream, service);
+            drive(&kernel, connection, ready(())).await;
+        }
+    };
+    accept(kernel, listener, run).await;
+}
+
+/// Serves callers' connections like [`serve`], and pipelined requests with a safe method beside each
+/// other. The handler gets when a request's turn has come.
+pub async fn serve_pipelined<H, F>(
+    kernel: Rc<MicroKernel>,
+    listener: TcpListener,
+    pause: impl Fn() -> Duration,
+    handler: H,
+) where
+    H: Fn(Request<CallerContent>, RequestTurn) -> F + Clone + 'static,
+    F: Future<Output = Response<ProxyBody>> + 'static,
+{
+    let run = |kernel: Rc<MicroKernel>, stream, _| {
+        let (pause, handler) = (pause(), handler.clone());
+        async move { serve_connection(&kernel, stream, pause, handler).await }
+    };
+    accept(kernel, listener, run).await;
+}
+
+async fn serve_connection<H, F>(
+    kernel: &MicroKernel,
+    stream: SocketStream,
+    pause: Duration,
+    handler: H,
+) where
+    H: Fn(Request<CallerContent>, RequestTurn) -> F + Clone + 'static,
+    F: Future<Output = Response<ProxyBody>> + 'static,
+{
+    let early = handler.clone();
+    let start = move |parts, turn| {
+        let request = Request::from_parts(parts, CallerContent::Right(Empty::new()));
+        early(request, turn).boxed_local()
+    };
+    let pipeline = Rc::new(RequestPipeline::new(Box::new(start)));
+    let stream = PipelinedStream::new(stream, Rc::clone(&pipeline));
+    let service = service_fn(|request: Request<Incoming>| {
+        let pipeline = Rc::clone(&pipeline);
+        let handler = &handler;
+        async move {
+            let mut response = match pipeline.take_early() {
+                Some(answer) => answer.await.map_err(|_| Error::Unanswered)?,
+                None => handler(request.map(CallerContent::Left), pipeline.turn()).await,
+            };
+            pipeline.note_answered(&mut response);
+            Ok::<_, Error>(response)
+        }
+    });
+    let connection = protocol(pause).serve_connection(stream, service);
+    drive(kernel, connection, pipeline.drain()).await;
+}
+
+async fn accept<F>(
+    kernel: Rc<MicroKernel>,
+    listener: TcpListener,
+    run: impl Fn(Rc<MicroKernel>, SocketStream, SocketAddr) -> F,
+) where
+    F: Future<Output = ()> + 'static,
 {
     loop {
         let accepted = {
@@ -61,54 +139,55 @@
             compio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let task_kernel = Rc::clone(&kernel);
-        let handler = handler.clone();
-        let pause = pause();
-        kernel.spawn_work(async move {
-            serve_connection(&task_kernel, stream, remote.ip(), pause, handler).await;
-        });
+        // These fail only on a connection that its caller has reset already.
+        let Ok(stream) = set_up(stream) else {
+            continue;
+        };
+        kernel.spawn_work(run(Rc::clone(&kernel), stream, remote));
     }
 }
 
-async fn serve_connection<H, F>(
-    kernel: &MicroKernel,
-    stream: TcpStream,
-    remote: IpAddr,
-    pause: Duration,
-    handler: H,
-) where
-    H: Fn(Request<Incoming>, IpAddr) -> F,
-    F: Future<Output = Response<ProxyBody>>,
-{
-    // These fail only on a connection that its caller has reset already.
-    let Ok(()) = stream.set_nodelay(true) else {
-        return;
-    };
-    let Ok(stream) = SocketStream::new(stream) else {
-        return;
-    };
-    let service = service_fn(|request| {
-        let answer = handler(request, remote);
-        async move { Ok::<_, Infallible>(answer.await) }
-    });
-    let connection = http1::Builder::new()
+fn set_up(stream: TcpStream) -> std::io::Result<SocketStream> {
+    stream.set_nodelay(true)?;
+    SocketStream::new(stream)
+}
+
+fn protocol(pause: Duration) -> http1::Builder {
+    let mut protocol = http1::Builder::new();
+    protocol
         .timer(CompioTimer)
         .header_read_timeout(pause)
         .max_headers(HEADER_LIMIT)
-        .max_buf_size(HEAD_LIMIT)
-        .serve_connection(stream, service);
+        .max_buf_size(HEAD_LIMIT);
+    protocol
+}
+
+// Runs a connection until it ends. Once the process refuses new ones, and `drained` is done, it ends
+// as well: idle connections at once, others after the answer to their request.
+async fn drive<I, S>(
+    kernel: &MicroKernel,
+    connection: http1::Connection<I, S>,
+    drained: impl Future<Output = ()>,
+) where
+    I: Read + Write + Unpin,
+    S: HttpService<Incoming, ResBody = ProxyBody>,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     pin_mut!(connection);
     {
         let ended = connection.as_mut().fuse();
-        let refusing = kernel.signal().reached(LifeStage::Refusing).fuse();
-        pin_mut!(ended, refusing);
+        let stopping = async {
+            kernel.signal().reached(LifeStage::Refusing).await;
+            drained.await;
+        };
+        let stopping = stopping.fuse();
+        pin_mut!(ended, stopping);
         select_biased! {
             // Whatever ends a connection, its requests have been told already.
             _ = ended => return,
-            () = refusing => {}
+            () = stopping => {}
         }
     }
-    // Idle connections end now; one with a request in flight ends after its answer.
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -12,7 +12,7 @@
 };
 
 /// Bytes that are read at once: the size of hyper's first buffer.
-const READ_SIZE: usize = 8 * 1_024;
+pub(crate) const READ_SIZE: usize = 8 * 1_024;
 
 /// `SocketStream` is a connected socket.
 #[derive(Debug)]
@@ -31,6 +31,11 @@
         SockRef::from(&socket).set_nonblocking(true)?;
         Ok(Self { socket })
     }
+
+    /// Reads what has come, at most as much as fits into `bytes`; nothing at the connection's end.
+    pub fn poll_bytes(&mut self, cx: &mut Context<'_>, bytes: &mut [u8]) -> Poll<Result<usize>> {
+        AsyncRead::poll_read(Pin::new(&mut self.socket), cx, bytes)
+    }
 }
 
 impl hyper::rt::Read for SocketStream {
@@ -41,8 +46,7 @@
     ) -> Poll<Result<()>> {
         let mut bytes = [0; READ_SIZE];
         let most = cursor.remaining().min(READ_SIZE);
-        let socket = Pin::new(&mut self.socket);
-        let read = ready!(AsyncRead::poll_read(socket, cx, &mut bytes[..most]))?;
+        let read = ready!(self.poll_bytes(cx, &mut bytes[..most]))?;
         cursor.put_slice(&bytes[..read]);
         Poll::Ready(Ok(()))
     }
--- /dev/null
+++ b/crates/net/tests/pipeline.rs
@@ -0,0 +1,306 @@
+//! Pipelined requests over real sockets: what runs beside what, the order of answers, and what becomes
+//! of them when the caller leaves or the host stops.
+
+use arbtest::arbtest;
+use bytes::Bytes;
+use compio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+use fighall_core::clock::boot_time;
+use fighall_kernel::{kernel::MicroKernel, stage::LifeStage};
+use fighall_net::{
+    body::{CallerContent, ProxyBody},
+    listener::serve_pipelined,
+    pipeline::RequestTurn,
+};
+use http::{HeaderValue, Request, Response, header::CONNECTION};
+use http_body_util::BodyExt;
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+const WORK: Duration = Duration::from_millis(200);
+
+// What a test host saw, and how it answers.
+#[derive(Default)]
+struct TestHost {
+    started: RefCell<Vec<String>>,
+    running: Cell<usize>,
+    most: Cell<usize>,
+    cancelled: Rc<Cell<usize>>,
+    closes: Cell<bool>,
+    works: Cell<Duration>,
+}
+
+struct CancelMark(Rc<Cell<usize>>, bool);
+
+impl Drop for CancelMark {
+    fn drop(&mut self) {
+        if !self.1 {
+            self.0.set(self.0.get() + 1);
+        }
+    }
+}
+
+impl TestHost {
+    async fn answer(
+        &self,
+        request: Request<CallerContent>,
+        turn: RequestTurn,
+    ) -> Response<ProxyBody> {
+        let path = request.uri().path().to_owned();
+        if path.starts_with("/once") {
+            turn.reached().await;
+        }
+        self.started.borrow_mut().push(path.clone());
+        self.running.set(self.running.get() + 1);
+        self.most.set(self.most.get().max(self.running.get()));
+        let mut mark = CancelMark(Rc::clone(&self.cancelled), false);
+        let body = request.into_body().collect().await;
+        let body = body.map_or_else(|_| Bytes::from("cut"), |body| body.to_bytes());
+        compio::time::sleep(self.works.get()).await;
+        mark.1 = true;
+        self.running.set(self.running.get() - 1);
+        let mut text = path.into_bytes();
+        text.extend_from_slice(&body);
+        let mut response = Response::new(ProxyBody::full(Bytes::from(text)));
+        if self.closes.get() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+}
+
+async fn start(works: Duration) -> (Rc<TestHost>, Rc<MicroKernel>, SocketAddr) {
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = TcpListener::bind(loopback).await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let kernel = MicroKernel::new();
+    let host = Rc::new(TestHost::default());
+    host.works.set(works);
+    let handler = {
+        let host = Rc::clone(&host);
+        move |request, turn| {
+            let host = Rc::clone(&host);
+            async move { host.answer(request, turn).await }
+        }
+    };
+    let pause = || Duration::from_secs(5);
+    let serving = serve_pipelined(Rc::clone(&kernel), listener, pause, handler);
+    kernel.spawn_service(serving);
+    (host, kernel, address)
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
+}
+
+fn post(path: &str, body: &str) -> String {
+    let length = body.len();
+    format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+async fn write(stream: &mut TcpStream, text: &str) {
+    let sent = stream.write_all(text.to_owned().into_bytes()).await;
+    sent.0.expect("bytes sent");
+}
+
+// Reads answers until `count` have come or the connection ends; gives their bodies.
+async fn bodies(stream: &mut TcpStream, count: usize) -> Vec<String> {
+    let mut text = Vec::new();
+    loop {
+        let bodies = split(&text);
+        if bodies.len() >= count {
+            return bodies;
+        }
+        let chunk = Vec::with_capacity(4_096);
+        let read = compio::time::timeout(Duration::from_secs(5), stream.append(chunk)).await;
+        let Ok(compio::BufResult(Ok(read), chunk)) = read else {
+            return bodies;
+        };
+        if read == 0 {
+            return bodies;
+        }
+        text.extend_from_slice(&chunk);
+    }
+}
+
+fn split(text: &[u8]) -> Vec<String> {
+    let mut text = String::from_utf8_lossy(text).into_owned();
+    let mut bodies = Vec::new();
+    while let Some(end) = text.find("\r\n\r\n") {
+        let head = text[..end].to_lowercase();
+        let length = head.split("content-length: ").nth(1);
+        let length = length.and_then(|rest| rest.lines().next()?.trim().parse().ok());
+        let length: usize = length.unwrap_or(0);
+        let body = end + 4;
+        if text.len() < body + length {
+            break;
+        }
+        bodies.push(text[body..body + length].to_owned());
+        text = text[body + length..].to_owned();
+    }
+    bodies
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = compio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(test);
+}
+
+#[test]
+fn safe_requests_run_beside_each_other_and_are_answered_in_order() {
+    run(async {
+        let (host, _kernel, address) = start(WORK).await;
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let sent_at = boot_time();
+        write(&mut stream, &[get("/a"), get("/b")].concat()).await;
+        // The third one comes while the others are being served.
+        compio::time::sleep(WORK / 4).await;
+        write(&mut stream, &get("/c")).await;
+        assert_eq!(bodies(&mut stream, 3).await, ["/a", "/b", "/c"]);
+        let elapsed = boot_time().saturating_sub(sent_at);
+        assert!(elapsed < WORK * 2, "{elapsed:?} for three requests at once");
+        assert_eq!(host.most.get(), 3);
+    });
+}
+
+#[test]
+fn what_changes_something_runs_alone() {
+    run(async {
+        let (host, _kernel, address) = start(WORK).await;
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let requests = [
+            get("/a"),
+            post("/b", "x"),
+            get("/c"),
+            get("/once"),
+            get("/d"),
+        ];
+        write(&mut stream, &requests.concat()).await;
+        let expected = ["/a", "/bx", "/c", "/once", "/d"];
+        assert_eq!(bodies(&mut stream, 5).await, expected);
+        let started = host.started.borrow().clone();
+        // The last one may run beside `/c`, unlike the one that waits for its turn.
+        assert_eq!(started, ["/a", "/b", "/c", "/d", "/once"]);
+        assert_eq!(host.most.get(), 2);
+    });
+}
+
+#[test]
+fn requests_of_a_caller_that_leaves_are_cancelled() {
+    run(async {
+        let (host, _kernel, address) = start(WORK * 10).await;
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        write(&mut stream, &[get("/a"), get("/b")].concat()).await;
+        compio::time::sleep(WORK).await;
+        assert_eq!(host.running.get(), 2);
+        drop(stream);
+        compio::time::sleep(WORK).await;
+        assert_eq!(host.cancelled.get(), 2);
+    });
+}
+
+#[test]
+fn a_stop_answers_all_requests_that_were_started() {
+    run(async {
+        let (host, kernel, address) = start(WORK).await;
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        write(&mut stream, &[get("/a"), get("/b"), get("/c")].concat()).await;
+        compio::time::sleep(WORK / 2).await;
+        kernel.signal().enter(LifeStage::Refusing);
+        compio::time::sleep(Duration::from_millis(10)).await;
+        write(&mut stream, &get("/late")).await;
+        // The connection ends after them; what came later was not begun.
+        assert_eq!(bodies(&mut stream, 4).await, ["/a", "/b", "/c"]);
+        assert_eq!(*host.started.borrow(), ["/a", "/b", "/c"]);
+        kernel.work_ended().await;
+    });
+}
+
+#[test]
+fn an_answer_that_would_close_the_connection_waits_for_those_behind_it() {
+    run(async {
+        let (host, _kernel, address) = start(WORK).await;
+        host.closes.set(true);
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        write(&mut stream, &[get("/a"), get("/b"), get("/c")].concat()).await;
+        assert_eq!(bodies(&mut stream, 3).await, ["/a", "/b", "/c"]);
+        write(&mut stream, &get("/d")).await;
+        assert!(bodies(&mut stream, 1).await.is_empty(), "it is closed");
+    });
+}
+
+#[test]
+fn requests_of_unknown_length_are_served_one_by_one() {
+    run(async {
+        let (_host, _kernel, address) = start(Duration::ZERO).await;
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let chunked = "POST /a HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n\
+                       3\r\nabc\r\n0\r\n\r\n";
+        let requests = [get("/x"), chunked.to_owned(), get("/b"), get("/c")].concat();
+        write(&mut stream, &requests).await;
+        assert_eq!(bodies(&mut stream, 4).await, ["/x", "/aabc", "/b", "/c"]);
+    });
+}
+
+#[test]
+fn a_head_that_is_too_large_is_refused() {
+    run(async {
+        let (_host, _kernel, address) = start(Duration::ZERO).await;
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let filler = "x".repeat(80_000);
+        let request = format!("GET /a HTTP/1.1\r\nhost: a\r\nfiller: {filler}\r\n\r\n");
+        let sent = stream.write_all(request.into_bytes()).await;
+        // The host may have closed the connection before all was sent.
+        drop(sent);
+        let chunk = Vec::with_capacity(4_096);
+        let compio::BufResult(read, chunk) = stream.append(chunk).await;
+        let text = String::from_utf8_lossy(&chunk).into_owned();
+        assert!(read.is_err() || text.starts_with("HTTP/1.1 431"), "{text}");
+    });
+}
+
+#[test]
+fn any_mix_of_requests_in_any_pieces_is_answered_in_order() {
+    arbtest(|source| {
+        let mut text = String::new();
+        let mut expected = Vec::new();
+        for number in 0..source.int_in_range(1..=24_usize)? {
+            let path = format!("/{number}");
+            if source.ratio(2, 3)? {
+                text.push_str(&get(&path));
+                expected.push(path);
+                continue;
+            }
+            // A body may look like a request.
+            let body = [get("/no"), "y".repeat(9_000), String::new()];
+            let body = source.choose(&body)?;
+            text.push_str(&post(&path, body));
+            expected.push(format!("{path}{body}"));
+        }
+        let mut pieces = Vec::new();
+        let mut rest = text.as_str();
+        while !rest.is_empty() {
+            let most = rest.len().min(20_000);
+            let (piece, left) = rest.split_at(source.int_in_range(1..=most)?);
+            pieces.push(piece.to_owned());
+            rest = left;
+        }
+        run(async {
+            let (_host, _kernel, address) = start(Duration::from_millis(1)).await;
+            let mut stream = TcpStream::connect(address).await.expect("a connection");
+            for piece in &pieces {
+                write(&mut stream, piece).await;
+            }
+            assert_eq!(bodies(&mut stream, expected.len()).await, expected);
+        });
+        Ok(())
+    })
+    .budget_ms(2_000);
+}
