--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -25,15 +25,15 @@
     clock::{boot_time, wall_millis},
     ids::{BootTime, Incarnation, Version},
 };
-use fighall_entry::{
-    body::ProxyBody,
-    listener::{bind, serve},
-    pool::ConnectionPool,
-};
 use fighall_kernel::{
     kernel::{MicroKernel, SIGHUP, SIGTERM, hold_signal},
     stage::LifeStage,
 };
+use fighall_net::{
+    body::ProxyBody,
+    listener::{bind, serve, serve_pipelined},
+    pool::ConnectionPool,
+};
 use fighall_store::client::{ClientOptions, StoreClient};
 use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
 use hyper::body::Incoming;
@@ -203,17 +203,17 @@
         let kernel = &self.kernel;
         let proxy = Rc::new(CallerProxy::new(kernel)?);
         let policy = Rc::clone(&self.policy);
-        let callers = serve(
+        let callers = serve_pipelined(
             Rc::clone(kernel),
             listeners.callers,
             move || {
                 let policy = policy.borrow().policy();
                 policy.map_or(CallerLimits::default().idle, |policy| policy.limits.idle)
             },
-            move |request, _| {
+            move |request, turn| {
                 let proxy = Rc::clone(&proxy);
                 // Boxed, as hyper keeps room for the future also while a connection is idle.
-                async move { Box::pin(proxy.serve(request)).await }
+                async move { Box::pin(proxy.serve(request, turn)).await }
             },
         );
         kernel.spawn_service(callers);
