--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -153,3 +153,35 @@
     )
     .with_retry_after(Duration::from_secs(1))
 }
+
+// Settles a claim in the background, so that the answer does not wait for the store. A request
+// that is cancelled leaves its claim standing: it may have run.
+pub(crate) struct ClaimGuard {
+    claims: Rc<ClaimService>,
+    claim: Option<HeldClaim>,
+}
+
+impl ClaimGuard {
+    pub(crate) fn new(claims: Rc<ClaimService>, claim: HeldClaim) -> Self {
+        Self {
+            claims,
+            claim: Some(claim),
+        }
+    }
+
+    pub(crate) fn settle(&mut self, status: u16) {
+        let Some(claim) = self.claim.take() else {
+            return;
+        };
+        let claims = Rc::clone(&self.claims);
+        compio::runtime::spawn(async move { claims.settle(claim, status).await }).detach();
+    }
+
+    pub(crate) fn release(&mut self) {
+        let Some(claim) = self.claim.take() else {
+            return;
+        };
+        let claims = Rc::clone(&self.claims);
+        compio::runtime::spawn(async move { claims.release(claim).await }).detach();
+    }
+}
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -2,12 +2,12 @@
 //! here, at once or not at all.
 
 use crate::{
+    bodies::{BodyBounds, take_body},
     configuration::ConfigService,
     identity::HostIdentity,
     names,
     pacing::LinkPace,
     problem::RequestRefusal,
-    proxy::{BodyBounds, take_body},
     quotas::QuotaService,
     request::RequestContext,
     router::RequestRouter,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,9 +5,9 @@
 
 #![forbid(unsafe_code)]
 
-mod absences;
 pub mod authority;
 pub mod bases;
+pub mod bodies;
 pub mod claims;
 pub mod configuration;
 pub mod errors;
@@ -26,12 +26,10 @@
 pub mod probes;
 pub mod problem;
 pub mod proxy;
-mod queues;
 pub mod quotas;
 pub mod request;
 pub mod router;
 pub mod settings;
-mod shares;
 pub mod slots;
 pub mod status;
 pub mod targets;
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -1,8 +1,10 @@
 //! The member id of this host: its lease, renewal, hand-over and loss.
 
+mod claiming;
+mod evidence;
+
 use crate::{configuration::ConfigService, identity::HostIdentity, mirrors::MirrorService, names};
 use event_listener::{Event, EventListener};
-use fighall_config::listing::{HostRole, ListedHost};
 use fighall_core::{
     clock::boot_time,
     event::{EventKind, EventSubject},
@@ -12,13 +14,10 @@
 use fighall_kernel::{errors::Result, kernel::MicroKernel, stage::LifeStage};
 use fighall_membership::{
     lease::{MemberKey, MemberLease},
-    table::{ClaimPlan, Evidence, MemberTable, TableOptions},
+    table::{MemberTable, TableOptions},
 };
 use fighall_peer::{mesh::PeerMesh, view::PeerAddress};
-use fighall_store::{
-    client::{StoreClient, WriteOutcome},
-    object::kinds,
-};
+use fighall_store::{client::StoreClient, object::kinds};
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -27,8 +26,6 @@
 
 /// Pause between looks at the table.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
-/// Renewals within a lease time.
-const RENEWALS: u32 = 3;
 /// Longest time that the release of the id may take at a stop.
 const RELEASE_LIMIT: Duration = Duration::from_secs(3);
 
@@ -288,191 +285,6 @@
         }
     }
 
-    async fn claim_or_renew(&self) {
-        let held = self.held.borrow().clone();
-        match held {
-            Some(held) => self.renew(held).await,
-            None => self.claim().await,
-        }
-    }
-
-    async fn renew(&self, held: HeldMember) {
-        let now = boot_time();
-        if now.saturating_sub(held.renewed_at) < self.lease_time.get() / RENEWALS {
-            return;
-        }
-        let mut lease = held.lease.clone();
-        lease.renewal += 1;
-        lease.wait_out_ms = self.wait_out_ms();
-        let outcome = self.write(held.member, &lease, Some(held.version)).await;
-        match outcome {
-            Ok(WriteOutcome::Written { version }) => {
-                self.note_heard(now);
-                if let Some(current) = self.held.borrow_mut().as_mut() {
-                    current.version = version;
-                    current.lease = lease;
-                    current.renewed_at = now;
-                }
-            }
-            Ok(WriteOutcome::Conflict { current }) => {
-                self.resolve_conflict(
-                    current
-                        .as_ref()
-                        .map(|object| (object.version, object.value.as_str())),
-                );
-            }
-            // The store does not answer: the base shares outlive its outage.
-            Err(_) => {}
-        }
-    }
-
-    // An earlier renewal of this process may have taken effect late; anything else is a loss.
-    fn resolve_conflict(&self, current: Option<(Version, &str)>) {
-        let lease = current.and_then(|(version, text)| {
-            let lease: MemberLease = serde_json::from_str(text).ok()?;
-            let own = lease.is_held_by(&self.identity.host, self.identity.incarnation);
-            own.then_some((version, lease))
-        });
-        match lease {
-            Some((version, lease)) => {
-                if let Some(held) = self.held.borrow_mut().as_mut() {
-                    held.version = version;
-                    held.lease = lease;
-                }
-            }
-            None => self.lose("another process holds the member id"),
-        }
-    }
-
-    async fn claim(&self) {
-        let now = boot_time();
-        if self.config.config().is_none() || !self.table.borrow().is_complete() {
-            return;
-        }
-        let plan = {
-            let table = self.table.borrow();
-            let evidence = |_: MemberId, lease: &MemberLease| self.evidence(now, lease);
-            table.claimable(&self.identity.host, &evidence)
-        };
-        let Some(plan) = plan else {
-            return;
-        };
-        let lease = self.new_lease();
-        let outcome = self.write(plan.member, &lease, plan.expected).await;
-        if let Ok(WriteOutcome::Written { version }) = outcome {
-            self.take_member(now, &plan, version, lease);
-            self.mirrors.refresh(kinds::POINTERS).await;
-            self.mirrors.refresh(kinds::MEMBERS).await;
-        }
-    }
-
-    fn take_member(&self, now: BootTime, plan: &ClaimPlan, version: Version, lease: MemberLease) {
-        let held = HeldMember {
-            member: plan.member,
-            version,
-            lease,
-            claimed_at: boot_time(),
-            renewed_at: now,
-            active_at: boot_time() + plan.wait_out,
-        };
-        *self.held.borrow_mut() = Some(held);
-        self.note_heard(now);
-        let wait = plan.wait_out.as_millis();
-        let cause = format!("claimed; base shares rest for {wait} ms");
-        self.record(Some(plan.member), &cause);
-        self.changed.notify(usize::MAX);
-    }
-
-    async fn write(
-        &self,
-        member: MemberId,
-        lease: &MemberLease,
-        expected: Option<Version>,
-    ) -> fighall_store::errors::Result<WriteOutcome> {
-        let text = serde_json::to_string(lease).unwrap_or_default();
-        let name = self.object_name(member);
-        match expected {
-            None => {
-                self.store
-                    .create_settled(kinds::MEMBERS, &name, &text)
-                    .await
-            }
-            Some(version) => {
-                self.store
-                    .put_settled(kinds::MEMBERS, &name, &text, version)
-                    .await
-            }
-        }
-    }
-
-    fn object_name(&self, member: MemberId) -> String {
-        MemberKey::new(&self.identity.region, member).object_name()
-    }
-
-    fn new_lease(&self) -> MemberLease {
-        let identity = &self.identity;
-        MemberLease {
-            host: identity.host.clone(),
-            incarnation: identity.incarnation,
-            claimed_generation: self.config.generation(),
-            peer_address: identity.peer_address.clone(),
-            forward_address: identity.forward_address.clone(),
-            caller_address: identity.caller_address.clone(),
-            operator_address: identity.operator_address.clone(),
-            region: identity.region.clone(),
-            zone: identity.zone.clone(),
-            renewal: 0,
-            released: false,
-            wait_out_ms: self.wait_out_ms(),
-        }
-    }
-
-    // Loans last up to their term and requests up to the term of slots, each with its margin.
-    fn wait_out_ms(&self) -> u64 {
-        let config = self.config.config();
-        config.map_or(0, |config| {
-            let longest = config.fleet.loan_ms.max(config.fleet.slot_loan_ms);
-            longest + longest / 50 + 40
-        })
-    }
-
-    fn evidence(&self, now: BootTime, lease: &MemberLease) -> Evidence {
-        let listed = self.mirrors.with_kind(kinds::HOSTS, |mirror| {
-            let value = mirror.value(&lease.host)?;
-            serde_json::from_str::<ListedHost>(value).ok()
-        });
-        let listed = listed.flatten();
-        let named = listed.is_some_and(|listed| listed.role == HostRole::Entry);
-        // A new process on the old one's address has taken its place.
-        let replaced = self.leases().iter().any(|other| {
-            other.peer_address == lease.peer_address && other.incarnation > lease.incarnation
-        });
-        Evidence {
-            unlisted: !named || replaced || lease.peer_address == self.identity.peer_address,
-            unheard: self.is_unheard(now, lease),
-        }
-    }
-
-    fn is_unheard(&self, now: BootTime, lease: &MemberLease) -> bool {
-        let lease_time = self.lease_time.get();
-        self.mesh.with_views(|views| {
-            for view in views {
-                let alive = view.is_alive(now, lease_time);
-                let same = view.peer.host == lease.host;
-                if same && alive && view.heard_incarnation == Some(lease.incarnation) {
-                    return false;
-                }
-                let heard = view.state.hears.iter().any(|heard| {
-                    heard.host == lease.host && heard.incarnation == lease.incarnation
-                });
-                if !same && alive && heard {
-                    return false;
-                }
-            }
-            true
-        })
-    }
-
     fn record(&self, member: Option<MemberId>, cause: &str) {
         let kind = EventKind::LeaseChanged {
             member,
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -2,14 +2,15 @@
 
 use crate::{
     authority::KeyAuthority,
-    claims::{ClaimService, HeldClaim},
+    bodies::{BodyBounds, take_bounded},
+    claims::{ClaimGuard, ClaimService},
     configuration::ConfigService,
     identity::HostIdentity,
     lookups::LookupService,
     metrics::EntryMetrics,
     names,
     problem::{RequestRefusal, reason_name},
-    request::{RequestBody, RequestContext},
+    request::RequestContext,
     router::RequestRouter,
 };
 use fighall_config::service::ServiceRoute;
@@ -18,41 +19,26 @@
     event::{EventKind, EventSubject, RefusalReason, RunState},
     ids::{BootTime, OrgId, RequestId, ServiceId},
     ring::EventRing,
-    value,
 };
 use fighall_kernel::{errors::Result, kernel::MicroKernel, stage::LifeStage};
 use fighall_net::{
-    body::{BodyError, BodyProgress, CallerBody, ProxyBody},
+    body::{BodyProgress, CallerBody, ProxyBody},
     headers::{
         HOST_HEADER, IDEMPOTENCY_HEADER, REQUEST_HEADER, presented_key, remove_hop_by_hop,
         remove_key, remove_own, set, target_without_key,
     },
 };
 use http::{
-    HeaderMap, Request, Response,
-    header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING},
+    Request, Response,
+    header::{CONNECTION, HOST, HeaderValue},
     request::Parts,
 };
-use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use std::{cell::Cell, net::IpAddr, rc::Rc, time::Duration};
 
-/// Largest body that is held whole, so that it can be sent again.
-const WHOLE_BODY_LIMIT: u64 = 64 * 1_024;
 /// Part of the deadline that a claim may take, as a divisor.
 const CLAIM_PART: u32 = 2;
 
-value! {
-    /// `BodyBounds` are the bounds of a caller's body.
-    #[derive(Copy)]
-    pub struct BodyBounds {
-        /// Largest body in bytes.
-        pub limit: u64,
-        /// Longest pause.
-        pub pause: Duration,
-    }
-}
-
 struct MatchedRequest {
     service: ServiceId,
     route: ServiceRoute,
@@ -244,9 +230,7 @@
         let target = target_without_key(&parts.uri, key.as_deref());
         let progress = Rc::new(BodyProgress::default());
         let body = CallerBody::new(body, bounds.limit, bounds.pause, Rc::clone(&progress));
-        let body = self
-            .bounded_body(&parts.headers, body, progress, bounds)
-            .await?;
+        let body = take_bounded(&parts.headers, body, progress, bounds).await?;
         let mut headers = parts.headers;
         remove_hop_by_hop(&mut headers);
         remove_own(&mut headers);
@@ -271,19 +255,6 @@
         })
     }
 
-    async fn bounded_body(
-        &self,
-        headers: &HeaderMap,
-        body: CallerBody,
-        progress: Rc<BodyProgress>,
-        bounds: BodyBounds,
-    ) -> std::result::Result<RequestBody, RequestRefusal> {
-        if content_length(headers).is_some_and(|length| length > bounds.limit) {
-            return Err(too_large());
-        }
-        take_body(headers, body, progress).await
-    }
-
     fn weight_of(&self, organisation: Option<&str>) -> u64 {
         let config = self.config.config();
         let limit = config.as_ref().and_then(|config| {
@@ -354,83 +325,3 @@
         }
     }
 }
-
-// Settles a claim in the background, so that the answer does not wait for the store. A request
-// that is cancelled leaves its claim standing: it may have run.
-struct ClaimGuard {
-    claims: Rc<ClaimService>,
-    claim: Option<HeldClaim>,
-}
-
-impl ClaimGuard {
-    fn new(claims: Rc<ClaimService>, claim: HeldClaim) -> Self {
-        Self {
-            claims,
-            claim: Some(claim),
-        }
-    }
-
-    fn settle(&mut self, status: u16) {
-        let Some(claim) = self.claim.take() else {
-            return;
-        };
-        let claims = Rc::clone(&self.claims);
-        compio::runtime::spawn(async move { claims.settle(claim, status).await }).detach();
-    }
-
-    fn release(&mut self) {
-        let Some(claim) = self.claim.take() else {
-            return;
-        };
-        let claims = Rc::clone(&self.claims);
-        compio::runtime::spawn(async move { claims.release(claim).await }).detach();
-    }
-}
-
-/// Takes a body whole when it is small and its length is known; else it will be passed on as it
-/// comes.
-///
-/// # Errors
-///
-/// Returns a refusal when the caller fails to send the body; nothing was sent on.
-pub async fn take_body(
-    headers: &HeaderMap,
-    body: CallerBody,
-    progress: Rc<BodyProgress>,
-) -> std::result::Result<RequestBody, RequestRefusal> {
-    let length = content_length(headers);
-    let chunked = headers.contains_key(TRANSFER_ENCODING);
-    let known = if chunked {
-        None
-    } else {
-        Some(length.unwrap_or(0))
-    };
-    if known.is_some_and(|length| length <= WHOLE_BODY_LIMIT) {
-        let collected = body.collect().await.map_err(|error| body_refusal(&error))?;
-        return Ok(RequestBody::Whole(collected.to_bytes()));
-    }
-    Ok(RequestBody::Streamed {
-        body: std::cell::RefCell::new(Some(body)),
-        progress,
-    })
-}
-
-fn body_refusal(error: &BodyError) -> RequestRefusal {
-    match error {
-        BodyError::TooLarge { .. } => too_large(),
-        BodyError::Cut { .. } | BodyError::TooSlow { .. } => {
-            RequestRefusal::not_run(RefusalReason::Cancelled, error.to_string())
-        }
-    }
-}
-
-fn too_large() -> RequestRefusal {
-    RequestRefusal::not_run(
-        RefusalReason::BadRequest,
-        "the body exceeds the route's limit",
-    )
-}
-
-fn content_length(headers: &HeaderMap) -> Option<u64> {
-    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -1,5 +1,11 @@
 //! The targets: who gets the next request, and who waits.
 
+mod absences;
+mod outcomes;
+mod queues;
+mod rooms;
+
+use self::outcomes::CancelledSlot;
 use crate::{
     configuration::ConfigService,
     identity::HostIdentity,
@@ -8,29 +14,24 @@
     names,
     quotas::QuotaService,
     request::RequestContext,
-    slots::{SlotEvent, SlotLease, UsedSlot, Waiter, WaiterGuard},
+    slots::{SlotLease, Waiter, WaiterGuard},
 };
 use event_listener::Event;
 use fighall_config::service::ServiceTarget;
 use fighall_core::{
     clock::boot_time,
-    event::{EventKind, EventSubject},
     ids::{BootTime, RegionId, ServiceId, TargetId},
     ring::EventRing,
     value,
 };
 use fighall_kernel::{errors::Result, kernel::MicroKernel};
-use fighall_peer::{
-    mesh::PeerMesh,
-    message::{ServiceRoom, TargetUse},
-};
+use fighall_peer::mesh::PeerMesh;
 use fighall_quota::slots::SlotTicket;
 use fighall_route::{
-    board::{TargetBoard, TargetReport},
+    board::TargetBoard,
     fair::FairQueue,
     placement::{
-        CandidateView, PlacementPolicy, PlacementQuery, SlotRoom, TargetPlacement, candidates,
-        place,
+        CandidateView, PlacementPolicy, PlacementQuery, TargetPlacement, candidates, place,
     },
 };
 use fighall_store::object::kinds;
@@ -43,12 +44,6 @@
 
 /// Interval at which waiting requests are looked at without another cause.
 const PUMP_INTERVAL: Duration = Duration::from_millis(20);
-/// Targets for which slots are asked while requests wait.
-const ASK_TARGETS: usize = 3;
-/// Time within which a target notices that a request was cancelled.
-const CANCEL_TIME: Duration = Duration::from_millis(20);
-/// Weight of a new service time in the moving average.
-const SERVICE_TIME_WEIGHT: f64 = 0.1;
 
 value! {
     /// `AcquireFailure` is why no target was had.
@@ -71,28 +66,22 @@
     pub(crate) service_time: f64,
 }
 
-#[derive(Debug)]
-struct CancelledSlot {
-    slot: UsedSlot,
-    free_at: BootTime,
-}
-
 /// `TargetService` places requests on the targets of this host's region.
 #[derive(Debug)]
 pub struct TargetService {
     identity: Rc<HostIdentity>,
     ring: Rc<EventRing>,
     mesh: Rc<PeerMesh>,
-    pub(crate) mirrors: Rc<MirrorService>,
-    pub(crate) config: Rc<ConfigService>,
+    mirrors: Rc<MirrorService>,
+    config: Rc<ConfigService>,
     quotas: Rc<QuotaService>,
-    pub(crate) metrics: Rc<EntryMetrics>,
-    pub(crate) board: RefCell<TargetBoard>,
-    pub(crate) queues: RefCell<BTreeMap<ServiceId, ServiceQueue>>,
+    metrics: Rc<EntryMetrics>,
+    board: RefCell<TargetBoard>,
+    queues: RefCell<BTreeMap<ServiceId, ServiceQueue>>,
     rng: RefCell<fastrand::Rng>,
     policy: Cell<PlacementPolicy>,
-    pub(crate) queue_limit: usize,
-    pub(crate) drains: RefCell<BTreeMap<TargetId, BootTime>>,
+    queue_limit: usize,
+    drains: RefCell<BTreeMap<TargetId, BootTime>>,
     // Slots of cancelled requests, in the order in which they come free.
     cancelled: RefCell<VecDeque<CancelledSlot>>,
 }
@@ -307,48 +296,6 @@
         read(&mut self.board.borrow_mut())
     }
 
-    /// Takes in a peer's use of targets.
-    pub fn take_reports(&self, peer: &str, uses: &[TargetUse]) {
-        let mut reports = Vec::new();
-        for used in uses {
-            reports.push(TargetReport {
-                target: used.target.clone(),
-                in_flight: used.in_flight,
-                ejected: used.ejected,
-            });
-        }
-        let now = boot_time();
-        self.board.borrow_mut().set_reports(now, peer, &reports);
-    }
-
-    /// Creates this host's report of its use of targets.
-    pub fn uses(&self) -> Vec<TargetUse> {
-        let reports = self.board.borrow().reports(boot_time());
-        let mut uses = Vec::new();
-        for report in reports {
-            uses.push(TargetUse {
-                target: report.target,
-                in_flight: report.in_flight,
-                ejected: report.ejected,
-            });
-        }
-        uses
-    }
-
-    /// Gets the free slots held here by service.
-    pub fn rooms(&self) -> Vec<ServiceRoom> {
-        let services = match self.config.config() {
-            Some(config) => config.services.keys().cloned().collect(),
-            None => Vec::new(),
-        };
-        let mut rooms = Vec::new();
-        for service in services {
-            let free = self.free_slots(&service);
-            rooms.push(ServiceRoom { service, free });
-        }
-        rooms
-    }
-
     /// Tells whether requests wait here for longer than they should.
     pub fn is_overloaded(&self) -> bool {
         let queues = self.queues.borrow();
@@ -432,189 +379,6 @@
         (target.connections / members.max(1)).max(1)
     }
 
-    fn take_event(self: &Rc<Self>, target: &str, event: SlotEvent) {
-        match event {
-            SlotEvent::Succeeded(latency) => self.note_success(target, latency),
-            SlotEvent::Failed => self.note_failure(target),
-            SlotEvent::Released(slot) => self.release(slot),
-            SlotEvent::Cancelled(slot) => self.release_later(slot),
-        }
-    }
-
-    fn release(self: &Rc<Self>, slot: UsedSlot) {
-        self.quotas.release(&slot.target, slot.ticket);
-        if let Some(record) = self.board.borrow_mut().get_mut(&slot.target) {
-            record.in_flight = record.in_flight.saturating_sub(1);
-        }
-        if let Some(entry) = self.queues.borrow_mut().get_mut(&slot.service) {
-            let seconds = slot.held.as_secs_f64();
-            entry.service_time += (seconds - entry.service_time) * SERVICE_TIME_WEIGHT;
-        }
-        self.pump(&slot.service);
-    }
-
-    // A target learns of a cancellation a little later than this host: until then the request
-    // still takes its slot.
-    fn release_later(&self, slot: UsedSlot) {
-        let cancelled = CancelledSlot {
-            slot,
-            free_at: boot_time() + CANCEL_TIME,
-        };
-        self.cancelled.borrow_mut().push_back(cancelled);
-    }
-
-    fn release_cancelled(self: &Rc<Self>) {
-        let now = boot_time();
-        loop {
-            let due = {
-                let mut cancelled = self.cancelled.borrow_mut();
-                let first = cancelled.front();
-                let due = first.is_some_and(|first| first.free_at <= now);
-                due.then(|| cancelled.pop_front()).flatten()
-            };
-            let Some(due) = due else {
-                return;
-            };
-            self.release(due.slot);
-        }
-    }
-
-    fn note_success(&self, target: &str, latency: Duration) {
-        let now = boot_time();
-        let usual = {
-            let board = self.board.borrow();
-            let service = board.get(target).map(|record| record.service.clone());
-            service.and_then(|service| board.usual_latency(&service))
-        };
-        let mut board = self.board.borrow_mut();
-        let Some(record) = board.get_mut(target) else {
-            return;
-        };
-        if let Some(usual) = usual {
-            record.ramp.set_reference(usual);
-        }
-        record.note_latency(latency);
-        if record.health.note_success(now) {
-            record.restart_ramp(now);
-            self.record_target(target, "returned");
-        }
-    }
-
-    fn note_failure(&self, target: &str) {
-        let now = boot_time();
-        let mut board = self.board.borrow_mut();
-        let ejected = board
-            .get_mut(target)
-            .is_some_and(|record| record.health.note_failure(now));
-        if ejected {
-            self.record_target(target, "ejected after failures");
-        }
-    }
-
-    /// Notes the result of a probe of a target.
-    pub fn note_probe(&self, target: &str, healthy: bool) {
-        let now = boot_time();
-        let mut board = self.board.borrow_mut();
-        let Some(record) = board.get_mut(target) else {
-            return;
-        };
-        if record.health.note_probe(now, healthy) {
-            let state = if healthy {
-                record.restart_ramp(now);
-                "returned by a probe"
-            } else {
-                "ejected after probes"
-            };
-            self.record_target(target, state);
-        }
-    }
-
-    fn room(&self, target: &str) -> SlotRoom {
-        let view = self.quotas.slots(target);
-        SlotRoom {
-            held: view.held,
-            free: view.free(),
-        }
-    }
-
-    fn held_slots(&self, service: &str) -> u32 {
-        let board = self.board.borrow();
-        let names = board.targets_of(service);
-        names.iter().map(|name| self.quotas.slots(name).held).sum()
-    }
-
-    fn free_slots(&self, service: &str) -> u32 {
-        let board = self.board.borrow();
-        let mut free = 0;
-        for name in board.targets_of(service) {
-            let takes = board
-                .get(name)
-                .is_some_and(|record| record.absence.is_none());
-            if takes {
-                free += self.quotas.slots(name).free();
-            }
-        }
-        free
-    }
-
-    // While requests wait, slots of a few targets are asked for from the region's other hosts.
-    fn ask_for_slots(&self, service: &str) {
-        let waiting = {
-            let queues = self.queues.borrow();
-            queues.get(service).map_or(0, |entry| entry.queue.len())
-        };
-        let board = self.board.borrow();
-        let mut names = Vec::new();
-        for name in board.targets_of(service) {
-            let near = board.get(name).is_some_and(|record| {
-                record.target.region == self.identity.region && record.absence.is_none()
-            });
-            self.quotas.set_slot_waiting(name, 0);
-            if near {
-                names.push(name.clone());
-            }
-        }
-        self.rng.borrow_mut().shuffle(&mut names);
-        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
-        for name in names.iter().take(ASK_TARGETS) {
-            self.quotas.set_slot_waiting(name, waiting.min(2));
-        }
-    }
-
-    fn set_gauges(&self) {
-        let region = self.identity.region.as_str();
-        let Some(config) = self.config.config() else {
-            return;
-        };
-        for service in config.services.keys() {
-            let held = f64::from(self.held_slots(service));
-            let free = f64::from(self.free_slots(service));
-            let ratio = if held > 0.0 { free / held } else { 0.0 };
-            let labels = [service.as_str(), region];
-            self.metrics.headroom.with_label_values(&labels).set(ratio);
-            let waiting = {
-                let queues = self.queues.borrow();
-                queues.get(service).map_or(0, |entry| entry.queue.len())
-            };
-            let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
-            self.metrics
-                .waiting
-                .with_label_values(&[service.as_str()])
-                .set(waiting);
-        }
-    }
-
-    pub(crate) fn record_target(&self, target: &str, state: &str) {
-        let subject = EventSubject {
-            target: Some(target.to_owned()),
-            ..EventSubject::default()
-        };
-        let kind = EventKind::TargetChanged {
-            state: state.to_owned(),
-        };
-        self.ring.record(subject, kind);
-    }
-
     /// Gets the mesh, for views of other regions.
     pub fn mesh(&self) -> &PeerMesh {
         &self.mesh
--- a/crates/quota/src/book.rs
+++ b/crates/quota/src/book.rs
@@ -1,12 +1,14 @@
 //! The book of all quotas that a host holds a share of, and the policy of lending and borrowing.
 
+mod loans;
+
 use crate::{
     amount::{MicroTokens, QuotaLimit, TOKEN, gain},
-    asking::{ASK_MORE_PERCENT, ASK_PAUSE, CAPACITY_TIME, RateEntry, ask_rate, wants_loan},
+    asking::RateEntry,
     base::{BaseHolder, ShareStart},
     demand::DemandRate,
-    loan::{LoanAnswer, LoanAsk, LoanMessage, OutgoingLoan, QuotaKey},
-    rate::{RateLedger, RateOptions, ShareView, reserve_for},
+    loan::QuotaKey,
+    rate::{RateLedger, RateOptions, ShareView},
     settle::{SettleClock, SettledGenerations},
     slots::{SlotLedger, SlotPosition, SlotTicket, SlotView},
 };
@@ -60,9 +62,6 @@
     busy_at: BootTime,
 }
 
-/// Time without use after which borrowed slots go back.
-const SLOT_IDLE: Duration = Duration::from_millis(500);
-
 /// `QuotaBook` holds every share of a host.
 #[derive(Debug)]
 pub struct QuotaBook {
@@ -324,150 +323,6 @@
         keys.cloned().collect()
     }
 
-    /// Creates the askings for what requests wait for and what demand will need. `peers` come in
-    /// the order in which they are asked; `sharers` tells which peers hold a share of a quota.
-    pub fn asks(
-        &mut self,
-        now: BootTime,
-        peers: &[HostId],
-        sharers: impl Fn(&QuotaKey, &HostId) -> bool,
-    ) -> Vec<OutgoingLoan> {
-        let mut outgoing = Vec::new();
-        for key in &self.busy {
-            let Some(entry) = self.rates.get_mut(key) else {
-                continue;
-            };
-            if !wants_loan(now, entry) {
-                continue;
-            }
-            let peers = peers.iter().filter(|peer| sharers(key, peer));
-            let peers: Vec<_> = peers.cloned().collect();
-            ask_rate(now, key, entry, &peers, &mut outgoing);
-        }
-        for (key, entry) in &mut self.slots {
-            let due = now.saturating_sub(entry.asked_at) >= ASK_PAUSE;
-            if entry.waiting == 0 || !due {
-                continue;
-            }
-            let peers: Vec<_> = peers.iter().filter(|peer| sharers(key, peer)).collect();
-            entry.asked_at = now;
-            for peer in peers {
-                let ask = entry.ledger.ask(now, key, entry.waiting.min(2));
-                outgoing.push(OutgoingLoan::new(peer, LoanMessage::Ask(ask)));
-            }
-        }
-        outgoing
-    }
-
-    /// Creates renewals of loans that are needed and returns of those that are not.
-    pub fn upkeep(&mut self, now: BootTime) -> Vec<OutgoingLoan> {
-        let mut outgoing = Vec::new();
-        for key in &self.busy {
-            let Some(entry) = self.rates.get_mut(key) else {
-                continue;
-            };
-            let demand = entry.ledger.view(now).demand;
-            let (mut needed, tokens) = reserve_for(demand, entry.waiting);
-            needed.rate = needed.rate * ASK_MORE_PERCENT / 100;
-            needed.capacity = needed.capacity.max(gain(demand, CAPACITY_TIME));
-            outgoing.extend(entry.ledger.give_back(now, key, needed, tokens));
-            outgoing.extend(entry.ledger.renewals(now, key));
-        }
-        self.drop_idle(now);
-        for (key, entry) in &mut self.slots {
-            if entry.waiting > 0 || now.saturating_sub(entry.busy_at) < SLOT_IDLE {
-                continue;
-            }
-            outgoing.extend(entry.ledger.give_back(now, key, 0));
-        }
-        outgoing
-    }
-
-    /// Returns every loan, at a planned stop.
-    pub fn give_all_back(&mut self, now: BootTime) -> Vec<OutgoingLoan> {
-        let mut outgoing = Vec::new();
-        for (key, entry) in &mut self.rates {
-            outgoing.extend(entry.ledger.give_back(now, key, QuotaLimit::default(), 0));
-        }
-        for (key, entry) in &mut self.slots {
-            outgoing.extend(entry.ledger.give_back(now, key, 0));
-        }
-        outgoing
-    }
-
-    /// Gets the time until the last loan that this host lent has ended for certain.
-    pub fn outstanding(&self, now: BootTime) -> Duration {
-        let rates = self
-            .rates
-            .values()
-            .map(|entry| entry.ledger.outstanding(now));
-        let slots = self
-            .slots
-            .values()
-            .map(|entry| entry.ledger.outstanding(now));
-        rates.chain(slots).max().unwrap_or_default()
-    }
-
-    /// Handles a message of a peer; returns the answer to it, if there is one.
-    pub fn handle(
-        &mut self,
-        now: BootTime,
-        peer: &str,
-        message: &LoanMessage,
-    ) -> Option<LoanMessage> {
-        match message {
-            LoanMessage::Ask(ask) => Some(LoanMessage::Answer(self.lend(now, ask))),
-            LoanMessage::Answer(answer) => {
-                self.accept(now, peer, answer);
-                None
-            }
-            LoanMessage::Renew(renewal) => {
-                let entry = self.rates.get_mut(&renewal.key)?;
-                let short = entry.waiting > entry.ledger.view(now).tokens;
-                let extension = entry.ledger.extend(now, renewal, short)?;
-                Some(LoanMessage::Extend(extension))
-            }
-            LoanMessage::Extend(extension) => {
-                let entry = self.rates.get_mut(&extension.key)?;
-                entry.ledger.extended(now, extension);
-                None
-            }
-            LoanMessage::Return(returned) => {
-                if let Some(entry) = self.rates.get_mut(&returned.key) {
-                    entry.ledger.take_back(now, returned);
-                }
-                if let Some(entry) = self.slots.get_mut(&returned.key) {
-                    entry.ledger.take_back(now, returned);
-                }
-                None
-            }
-        }
-    }
-
-    fn lend(&mut self, now: BootTime, ask: &LoanAsk) -> LoanAnswer {
-        if let Some(entry) = self.slots.get_mut(&ask.key) {
-            return entry.ledger.lend(now, ask, entry.waiting);
-        }
-        let entry = self.rate_entry(now, &ask.key);
-        let demand = entry.ledger.view(now).demand;
-        let (reserve, tokens) = reserve_for(demand, entry.waiting);
-        entry.ledger.lend(now, ask, reserve, tokens)
-    }
-
-    fn accept(&mut self, now: BootTime, peer: &str, answer: &LoanAnswer) {
-        if let Some(entry) = self.slots.get_mut(&answer.key) {
-            entry.ledger.accept(now, peer, answer);
-            return;
-        }
-        let entry = self.busy_entry(now, &answer.key);
-        entry.open_asks = entry.open_asks.saturating_sub(1);
-        let gained = entry.ledger.accept(now, peer, answer);
-        if gained > 0 {
-            entry.round_gain += gained;
-            entry.gained.add(now, gained);
-        }
-    }
-
     fn busy_entry(&mut self, now: BootTime, key: &QuotaKey) -> &mut RateEntry {
         if self.rates.get(key).is_none_or(|entry| !entry.busy) {
             self.rate_entry(now, key).busy = true;
--- /dev/null
+++ b/crates/quota/src/rate/lending.rs
@@ -0,0 +1,332 @@
+//! Loans of a rate: lending, borrowing, renewal and return.
+
+use super::{BorrowedLoan, LentLoan, LentSource, RateLedger};
+use crate::{
+    amount::{MicroTokens, QuotaLimit},
+    loan::{
+        LoanAnswer, LoanAsk, LoanExtension, LoanGrant, LoanId, LoanMessage, LoanRenewal,
+        LoanReturn, OutgoingLoan, QuotaKey,
+    },
+};
+use fighall_core::ids::BootTime;
+use std::time::Duration;
+
+/// Part of the limit below which a loan is not worth its messages, as a divisor.
+const SMALLEST_PART: u64 = 256;
+
+impl RateLedger {
+    /// Creates the asking for a loan. The time of sending bounds the loan's end.
+    pub fn ask(
+        &mut self,
+        now: BootTime,
+        key: &QuotaKey,
+        wanted: QuotaLimit,
+        tokens: MicroTokens,
+    ) -> LoanAsk {
+        let id = self.ids.issue();
+        self.pending.insert(id.clone(), now);
+        LoanAsk {
+            id,
+            key: key.clone(),
+            wanted,
+            tokens,
+        }
+    }
+
+    /// Lends what is asked for, as far as `reserve` and `reserve_tokens` stay here. What is lent
+    /// is debited before the answer exists.
+    pub fn lend(
+        &mut self,
+        now: BootTime,
+        ask: &LoanAsk,
+        reserve: QuotaLimit,
+        reserve_tokens: MicroTokens,
+    ) -> LoanAnswer {
+        self.settle(now);
+        let mut wanted = ask.wanted;
+        let mut tokens = ask.tokens.min(self.tokens.saturating_sub(reserve_tokens));
+        wanted.rate = wanted
+            .rate
+            .min(self.held().rate.saturating_sub(reserve.rate));
+        wanted.capacity = wanted.capacity.max(tokens);
+        let spare = self.held().capacity.saturating_sub(reserve.capacity);
+        wanted.capacity = wanted.capacity.min(spare);
+        tokens = tokens.min(wanted.capacity);
+        let mut grants = Vec::new();
+        for source in self.sources(now) {
+            if wanted.is_zero() {
+                break;
+            }
+            let Some(grant) = self.lend_from(now, &source, wanted, tokens) else {
+                continue;
+            };
+            wanted = wanted.minus(grant.portion);
+            tokens -= grant.tokens;
+            grants.push(grant);
+        }
+        LoanAnswer {
+            ask: ask.id.clone(),
+            key: ask.key.clone(),
+            grants,
+        }
+    }
+
+    /// Takes in the loans of an answer. Answers to unknown askings, loans that came twice and
+    /// loans that have ended change nothing. Returns the tokens taken in.
+    pub fn accept(&mut self, now: BootTime, lender: &str, answer: &LoanAnswer) -> MicroTokens {
+        self.settle(now);
+        let Some(asked_at) = self.pending.get(&answer.ask).copied() else {
+            return 0;
+        };
+        let mut gained = 0;
+        for grant in &answer.grants {
+            let expires_at = asked_at + grant.term;
+            if expires_at <= now || self.accepted.contains_key(&grant.id) {
+                continue;
+            }
+            self.accepted.insert(grant.id.clone(), expires_at);
+            let loan = BorrowedLoan {
+                lender: lender.to_owned(),
+                portion: grant.portion,
+                lent_on: QuotaLimit::default(),
+                expires_at,
+                renewal: 0,
+                renewal_sent_at: asked_at,
+            };
+            self.borrowed.insert(grant.id.clone(), loan);
+            self.borrowed_sum = self.borrowed_sum.plus(grant.portion);
+            self.settled_until = self.settled_until.min(expires_at);
+            let tokens = grant.tokens.min(grant.portion.capacity);
+            self.tokens += tokens;
+            gained += tokens;
+        }
+        gained
+    }
+
+    /// Creates the renewals of loans that are past half of their time, while they are needed.
+    pub fn renewals(&mut self, now: BootTime, key: &QuotaKey) -> Vec<OutgoingLoan> {
+        self.settle(now);
+        let half = self.options.term / 2;
+        let pause = self.options.term / 8;
+        let mut renewals = Vec::new();
+        for (id, loan) in &mut self.borrowed {
+            let early = loan.expires_at.saturating_sub(now) > half;
+            let recent = loan.renewal > 0 && now.saturating_sub(loan.renewal_sent_at) < pause;
+            if early || recent {
+                continue;
+            }
+            loan.renewal += 1;
+            loan.renewal_sent_at = now;
+            let renewal = LoanRenewal {
+                id: id.clone(),
+                key: key.clone(),
+                number: loan.renewal,
+            };
+            let message = LoanMessage::Renew(renewal);
+            renewals.push(OutgoingLoan::new(&loan.lender, message));
+        }
+        renewals
+    }
+
+    /// Extends a loan that this host lent, unless `refuse`: the own demand needs it back. The end
+    /// is put off here before the borrower learns of it.
+    pub fn extend(
+        &mut self,
+        now: BootTime,
+        renewal: &LoanRenewal,
+        refuse: bool,
+    ) -> Option<LoanExtension> {
+        self.settle(now);
+        let loan = self.lent.get(&renewal.id)?;
+        let term = self.source_term(now, &loan.source)?;
+        // After a limit was lowered, loans of what is no longer there must run out.
+        let overdrawn = loan.source == LentSource::Own && self.is_overdrawn();
+        if refuse || overdrawn {
+            return None;
+        }
+        let reclaim_at = now + term + self.options.margin;
+        let loan = self.lent.get_mut(&renewal.id)?;
+        loan.reclaim_at = loan.reclaim_at.max(reclaim_at);
+        Some(LoanExtension {
+            id: renewal.id.clone(),
+            key: renewal.key.clone(),
+            number: renewal.number,
+            term,
+        })
+    }
+
+    /// Takes in an extension. Only the answer to the latest renewal counts, from its sending.
+    pub fn extended(&mut self, now: BootTime, extension: &LoanExtension) {
+        self.settle(now);
+        let Some(loan) = self.borrowed.get_mut(&extension.id) else {
+            return;
+        };
+        if loan.renewal != extension.number {
+            return;
+        }
+        loan.expires_at = loan.expires_at.max(loan.renewal_sent_at + extension.term);
+        self.accepted.insert(extension.id.clone(), loan.expires_at);
+    }
+
+    /// Gives back loans that the own demand does not need, or all of them. A loan of which a part
+    /// was lent on stays until that part has come back.
+    pub fn give_back(
+        &mut self,
+        now: BootTime,
+        key: &QuotaKey,
+        needed: QuotaLimit,
+        needed_tokens: MicroTokens,
+    ) -> Vec<OutgoingLoan> {
+        self.settle(now);
+        let mut returns = Vec::new();
+        let ids: Vec<LoanId> = self.borrowed.keys().cloned().collect();
+        for id in ids {
+            let Some(loan) = self.borrowed.get(&id) else {
+                continue;
+            };
+            let rest = self.held().minus(loan.portion);
+            let short = rest.rate < needed.rate || rest.capacity < needed.capacity;
+            if !loan.lent_on.is_zero() || short {
+                continue;
+            }
+            let spare = self.tokens.saturating_sub(needed_tokens);
+            let tokens = spare.min(loan.portion.capacity);
+            let lender = loan.lender.clone();
+            self.drop_borrowed(&id);
+            self.tokens -= tokens;
+            self.clamp();
+            let key = key.clone();
+            let message = LoanMessage::Return(LoanReturn { id, key, tokens });
+            returns.push(OutgoingLoan::new(&lender, message));
+        }
+        returns
+    }
+
+    /// Takes back a loan that its borrower returned. A return that comes twice, or after the loan
+    /// was taken back by time, changes nothing.
+    pub fn take_back(&mut self, now: BootTime, returned: &LoanReturn) {
+        self.settle(now);
+        let Some(loan) = self.lent.remove(&returned.id) else {
+            return;
+        };
+        self.settled_until = Duration::ZERO;
+        let tokens = returned.tokens.min(loan.portion.capacity);
+        if self.restore(&loan) && self.active {
+            self.tokens += tokens;
+            self.clamp();
+        }
+    }
+
+    pub(super) fn drop_borrowed(&mut self, id: &LoanId) {
+        if let Some(loan) = self.borrowed.remove(id) {
+            self.borrowed_sum = self.borrowed_sum.minus(loan.portion);
+        }
+    }
+
+    // A loan of next to nothing costs messages and memory for its whole term.
+    fn is_too_small(&self, portion: QuotaLimit) -> bool {
+        let limit = self
+            .base
+            .as_ref()
+            .map(|base| base.limit)
+            .unwrap_or_default();
+        let rate = portion.rate <= limit.rate / SMALLEST_PART;
+        let capacity = portion.capacity <= limit.capacity / SMALLEST_PART;
+        rate && capacity
+    }
+
+    // Own share first, then the borrowed ones that last longest.
+    fn sources(&self, now: BootTime) -> Vec<LentSource> {
+        let mut borrowed: Vec<_> = self.borrowed.iter().collect();
+        borrowed.sort_by_key(|(_, loan)| std::cmp::Reverse(loan.expires_at));
+        let mut sources = vec![LentSource::Own];
+        for (id, _) in borrowed {
+            sources.push(LentSource::Borrowed(id.clone()));
+        }
+        sources.retain(|source| self.source_term(now, source).is_some());
+        sources
+    }
+
+    // A share lent on must come back before this host loses it.
+    fn source_term(&self, now: BootTime, source: &LentSource) -> Option<Duration> {
+        match source {
+            LentSource::Own => Some(self.options.term),
+            LentSource::Borrowed(id) => {
+                let left = self.borrowed.get(id)?.expires_at.saturating_sub(now);
+                let term = left
+                    .saturating_sub(self.options.margin)
+                    .min(self.options.term);
+                (term >= self.options.shortest_term).then_some(term)
+            }
+        }
+    }
+
+    fn lend_from(
+        &mut self,
+        now: BootTime,
+        source: &LentSource,
+        wanted: QuotaLimit,
+        tokens: MicroTokens,
+    ) -> Option<LoanGrant> {
+        let term = self.source_term(now, source)?;
+        let available = match source {
+            LentSource::Own => self.own_held(),
+            LentSource::Borrowed(id) => self.borrowed.get(id)?.portion,
+        };
+        let portion = wanted.min(available);
+        if portion.is_zero() || self.is_too_small(portion) {
+            return None;
+        }
+        let tokens = tokens.min(portion.capacity).min(self.tokens);
+        match source {
+            LentSource::Own => self.own_lent = self.own_lent.plus(portion),
+            LentSource::Borrowed(id) => {
+                let loan = self.borrowed.get_mut(id)?;
+                loan.portion = loan.portion.minus(portion);
+                loan.lent_on = loan.lent_on.plus(portion);
+                self.borrowed_sum = self.borrowed_sum.minus(portion);
+            }
+        }
+        self.tokens -= tokens;
+        self.clamp();
+        let id = self.ids.issue();
+        let loan = LentLoan {
+            portion,
+            source: source.clone(),
+            reclaim_at: now + term + self.options.margin,
+        };
+        self.settled_until = self.settled_until.min(loan.reclaim_at);
+        self.lent.insert(id.clone(), loan);
+        Some(LoanGrant {
+            id,
+            portion,
+            tokens,
+            term,
+        })
+    }
+
+    // Puts a lent portion back where it came from. The source may be gone by now.
+    pub(super) fn restore(&mut self, loan: &LentLoan) -> bool {
+        match &loan.source {
+            LentSource::Own => {
+                self.own_lent = self.own_lent.minus(loan.portion);
+                true
+            }
+            LentSource::Borrowed(id) => match self.borrowed.get_mut(id) {
+                Some(source) => {
+                    source.portion = source.portion.plus(loan.portion);
+                    source.lent_on = source.lent_on.minus(loan.portion);
+                    self.borrowed_sum = self.borrowed_sum.plus(loan.portion);
+                    true
+                }
+                None => false,
+            },
+        }
+    }
+
+    fn is_overdrawn(&self) -> bool {
+        let effective = self.base.as_ref().map(|base| base.share.effective);
+        let effective = effective.unwrap_or_default();
+        !self.own_lent.minus(effective).is_zero()
+    }
+}
--- /dev/null
+++ b/crates/quota/src/rate/settling.rs
@@ -0,0 +1,91 @@
+//! What becomes due in a ledger as time passes.
+
+use super::RateLedger;
+use crate::{
+    amount::{gain, time_for},
+    loan::LoanId,
+};
+use fighall_core::ids::BootTime;
+
+impl RateLedger {
+    // Brings the ledger up to `now`: refills with what was held until each end of a borrowed
+    // loan, drops the loans that have ended, then takes back what was lent long enough ago.
+    pub(super) fn settle(&mut self, now: BootTime) {
+        if now < self.settled_until {
+            self.refill(now);
+            return;
+        }
+        while let Some(id) = self.next_expired(now) {
+            let Some(loan) = self.borrowed.get(&id) else {
+                break;
+            };
+            self.refill(loan.expires_at);
+            self.drop_borrowed(&id);
+            self.clamp();
+        }
+        self.refill(now);
+        self.reclaim(now);
+        let term = self.options.term;
+        self.pending.retain(|_, asked_at| *asked_at + term > now);
+        self.accepted.retain(|_, expires_at| *expires_at > now);
+        self.settled_until = self.next_change(now);
+    }
+
+    fn reclaim(&mut self, now: BootTime) {
+        let mut ended = Vec::new();
+        for (id, loan) in &self.lent {
+            if loan.reclaim_at <= now {
+                ended.push(id.clone());
+            }
+        }
+        for id in ended {
+            if let Some(loan) = self.lent.remove(&id) {
+                self.restore(&loan);
+            }
+        }
+    }
+
+    // The earliest time at which a loan ends; what is kept against messages that come twice is
+    // pruned then as well.
+    fn next_change(&self, now: BootTime) -> BootTime {
+        let mut next = now + self.options.term;
+        for loan in self.borrowed.values() {
+            next = next.min(loan.expires_at);
+        }
+        for loan in self.lent.values() {
+            next = next.min(loan.reclaim_at);
+        }
+        next
+    }
+
+    fn next_expired(&self, now: BootTime) -> Option<LoanId> {
+        let expired = self
+            .borrowed
+            .iter()
+            .filter(|(_, loan)| loan.expires_at <= now);
+        let (id, _) = expired.min_by_key(|(_, loan)| loan.expires_at)?;
+        Some(id.clone())
+    }
+
+    fn refill(&mut self, until: BootTime) {
+        if until <= self.refreshed_at {
+            return;
+        }
+        let held = self.held();
+        let missing = held.capacity.saturating_sub(self.tokens);
+        let gained = gain(held.rate, until - self.refreshed_at);
+        if gained >= missing {
+            self.tokens += missing;
+            self.refreshed_at = until;
+            return;
+        }
+        // Only the time that whole micro-tokens took is used up, so that none is lost to rounding.
+        let used = time_for(held.rate, gained).unwrap_or(until - self.refreshed_at);
+        self.tokens += gained;
+        self.refreshed_at = (self.refreshed_at + used).min(until);
+    }
+
+    pub(super) fn clamp(&mut self) {
+        self.tokens = self.tokens.min(self.held().capacity);
+    }
+}
--- /dev/null
+++ b/crates/quota/tests/slots.rs
@@ -0,0 +1,70 @@
+//! A ledger of slots: what may be occupied when.
+
+use fighall_core::ids::MemberId;
+use fighall_quota::{
+    base::ShareStart,
+    loan::QuotaKey,
+    rate::RateOptions,
+    slots::{SlotLedger, SlotPosition},
+};
+use std::time::Duration;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn ledger(host: &str, total: u32, member: MemberId, members: u32) -> SlotLedger {
+    let mut ledger = SlotLedger::new(RateOptions::with_term(SECOND * 10), host, 1);
+    let position = SlotPosition { member, members };
+    ledger.set_base(Duration::ZERO, 1, total, position, ShareStart::AtOnce);
+    ledger.activate();
+    ledger
+}
+
+#[test]
+fn a_borrowed_slot_takes_only_requests_that_end_in_time() {
+    let key = QuotaKey::Slots("t".to_owned());
+    let mut lender = ledger("a", 2, 0, 2);
+    let mut borrower = ledger("b", 2, 1, 2);
+    assert!(borrower.occupy(SECOND, SECOND * 2).is_some());
+    assert!(borrower.occupy(SECOND, SECOND * 2).is_none());
+    let ask = borrower.ask(SECOND, &key, 1);
+    let answer = lender.lend(SECOND, &ask, 0);
+    assert!(lender.occupy(SECOND, SECOND * 2).is_none());
+    assert_eq!(borrower.accept(SECOND * 2, "a", &answer), 1);
+    assert_eq!(borrower.accept(SECOND * 2, "a", &answer), 0);
+    assert!(borrower.occupy(SECOND * 2, SECOND * 12).is_none());
+    assert!(borrower.occupy(SECOND * 2, SECOND * 11).is_some());
+    assert!(lender.occupy(SECOND * 11, SECOND * 12).is_none());
+    assert!(lender.occupy(SECOND * 12, SECOND * 13).is_some());
+}
+
+#[test]
+fn a_ticket_of_an_earlier_ledger_frees_nothing() {
+    let mut old = ledger("a", 2, 0, 2);
+    let ticket = old.occupy(SECOND, SECOND * 2).unwrap();
+    let mut new = SlotLedger::new(RateOptions::with_term(SECOND * 10), "a", 2);
+    let position = SlotPosition {
+        member: 1,
+        members: 2,
+    };
+    new.set_base(Duration::ZERO, 1, 2, position, ShareStart::AtOnce);
+    new.activate();
+    assert!(new.occupy(SECOND, SECOND * 2).is_some());
+    new.release(ticket);
+    assert!(new.occupy(SECOND, SECOND * 2).is_none());
+}
+
+#[test]
+fn positions_share_all_slots_and_none_beyond_them() {
+    for total in 0..20 {
+        let shares = (0..9).map(|member| SlotPosition::with_name("t", member, 3).share(total));
+        assert_eq!(shares.sum::<u32>(), total);
+    }
+}
+
+#[test]
+fn a_member_that_was_moved_gets_no_slot() {
+    let mut ledger = ledger("a", 9, 0, 3);
+    assert!(ledger.occupy(SECOND, SECOND).is_some());
+    ledger.deactivate();
+    assert!(ledger.occupy(SECOND, SECOND).is_none());
+}
--- /dev/null
+++ b/crates/store/src/client/writes.rs
@@ -0,0 +1,113 @@
+//! Conditional writes whose outcome is settled also when an answer was lost.
+
+use super::{StoreClient, WriteOutcome, unexpected};
+use crate::{
+    errors::{Error, Result},
+    mapping::StoreCall,
+    object::VALUE_LIMIT,
+};
+use fighall_core::ids::Version;
+use http::StatusCode;
+
+impl StoreClient {
+    /// Creates an object that must not exist. A lost answer is settled: the value must be one
+    /// that only this caller writes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the outcome could not be settled within the options' patience.
+    pub async fn create_settled(
+        &self,
+        kind: &str,
+        name: &str,
+        value: &str,
+    ) -> Result<WriteOutcome> {
+        let call = StoreCall::Create {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            value: value.to_owned(),
+        };
+        self.write_settled(&call, kind, name, Some(value)).await
+    }
+
+    /// Writes an object that must be at version `expected`. A lost answer is settled: the value
+    /// must be one that only this caller writes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the outcome could not be settled within the options' patience.
+    pub async fn put_settled(
+        &self,
+        kind: &str,
+        name: &str,
+        value: &str,
+        expected: Version,
+    ) -> Result<WriteOutcome> {
+        let call = StoreCall::Put {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            value: value.to_owned(),
+            expected,
+        };
+        self.write_settled(&call, kind, name, Some(value)).await
+    }
+
+    /// Deletes an object that must be at version `expected`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the outcome could not be settled within the options' patience.
+    pub async fn delete_settled(
+        &self,
+        kind: &str,
+        name: &str,
+        expected: Version,
+    ) -> Result<WriteOutcome> {
+        let call = StoreCall::Delete {
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            expected,
+        };
+        self.write_settled(&call, kind, name, None).await
+    }
+
+    // A conditional write can be repeated: it takes effect once, since its own success breaks the
+    // condition. A refused condition is therefore checked against the object that stands there.
+    async fn write_settled(
+        &self,
+        call: &StoreCall,
+        kind: &str,
+        name: &str,
+        value: Option<&str>,
+    ) -> Result<WriteOutcome> {
+        if let Some(value) = value
+            && value.len() > VALUE_LIMIT
+        {
+            return Err(Error::TooLarge {
+                bytes: value.len(),
+                limit: VALUE_LIMIT,
+            });
+        }
+        let answer = self.call_retried(call).await?;
+        if answer.status.is_success() {
+            let version = (self.mapping.version)(&answer.body)?;
+            return Ok(WriteOutcome::Written { version });
+        }
+        let refused = [
+            StatusCode::PRECONDITION_FAILED,
+            StatusCode::CONFLICT,
+            StatusCode::NOT_FOUND,
+        ];
+        if !refused.contains(&answer.status) {
+            return Err(unexpected(answer.status));
+        }
+        let current = self.get(kind, name).await?;
+        match (&current, value) {
+            (Some(object), Some(value)) if object.value == value => Ok(WriteOutcome::Written {
+                version: object.version,
+            }),
+            (None, None) => Ok(WriteOutcome::Written { version: 0 }),
+            _ => Ok(WriteOutcome::Conflict { current }),
+        }
+    }
+}
