Spill faster than traffic is taken back

What was wanted was right (0.76 of norr's traffic elsewhere); the part in force had gone down to 0.50 in the lull before and grew by 0.02 a second.

Change: the spilled part grows by 0.035 a second (bound of shifts: 0.15 in 2 s) and shrinks, or moves between other regions, by 0.01.

Ruled out: that requests take longer at busy targets, so that the part by count tells too little of the load.

Test: a_short_region_gives_way_fast_and_takes_back_slowly, red before (0.625 to 0.44 in 10 s).

--- a/crates/gateway/src/spill.rs
+++ b/crates/gateway/src/spill.rs
@@ -13,9 +13,12 @@
 /// Part of a region's slots that its own demand may use before the rest goes elsewhere. It leaves
 /// room for objects that are spread unevenly over targets.
 const HOME_USE: f64 = 0.55;
-/// Largest change of the spilled part in a second. Three such steps stay well below the shift that
-/// is allowed between two windows of 2 s.
-const PART_STEP: f64 = 0.02;
+/// Largest growth of the spilled part in a second: two such steps and a rounding stay well below the
+/// shift that is allowed between two windows of 2 s.
+const GROWTH_STEP: f64 = 0.035;
+/// Largest change in a second that takes traffic back, or moves it between other regions. Demand comes
+/// and goes within tens of seconds, and overload costs callers more than the longer way does.
+const RETURN_STEP: f64 = 0.01;
 /// Steps to which the spilled part is rounded, so that hosts of a region agree on it.
 const PART_GRAIN: f64 = 1.0 / 32.0;
 /// Part of the fleet's slots that is assumed to be in demand before any was measured.
@@ -59,7 +62,10 @@
             .iter()
             .map(|(region, part)| (target(region) - part).abs())
             .sum();
-        let step = PART_STEP * elapsed.min(Duration::from_secs(1)).as_secs_f64();
+        let spilled: f64 = parts.values().sum();
+        let grows = wanted.values().sum::<f64>() > spilled;
+        let step = if grows { GROWTH_STEP } else { RETURN_STEP };
+        let step = step * elapsed.min(Duration::from_secs(1)).as_secs_f64();
         let scale = if change > step { step / change } else { 1.0 };
         for (region, part) in parts.iter_mut() {
             *part += (target(region) - *part) * scale;
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -183,6 +183,33 @@
     assert!(last > 0.3, "{last}");
 }
 
+// Regression: after a lull a short region took its traffic back, and gave it away again too slowly when
+// the load returned. Three quarters of its slots were in use for seconds, and a sixth of what they served
+// was late.
+#[test]
+fn a_short_region_gives_way_fast_and_takes_back_slowly() {
+    let load = |demand| rooms(&[("a", 20.0, demand), ("b", 180.0, 40.0)]);
+    let mut control = SpillControl::default();
+    let mut now = Duration::from_secs(1);
+    control.update(now, "a", &load(30.0));
+    let mut far_after = |demand: f64, seconds: u32| {
+        let rooms = load(demand);
+        for _ in 0..seconds * 5 {
+            now += millis(200);
+            control.update(now, "a", &rooms);
+        }
+        far_part(&control.weights("a", &rooms), &rooms, "a")
+    };
+    let heavy = far_after(30.0, 1);
+    assert!((0.58..0.68).contains(&heavy), "{heavy}");
+    let lull = far_after(12.0, 10);
+    assert!(lull > heavy - 0.15, "{heavy} to {lull} in a lull of 10 s");
+    let again = far_after(30.0, 4);
+    assert!(again > heavy - 0.04, "{again} 4 s after the lull");
+    // In a lasting calm the traffic stays at home.
+    assert!(far_after(10.0, 80) < 0.05);
+}
+
 #[test]
 fn what_is_spilled_moves_slowly_between_other_regions_as_well() {
     // The spare room changes from one far region to the other at once.
