Ask the store only for changes that do not come from feeders

Change: a host waits for the version that it saw first, and only asks when that one does not come; the policy has the same patience. At its start a host waits 0.8 s (two beats) for feeders before it watches the store for a kind other than the policy.

Test: a_host_that_is_fed_late_but_steadily_asks_nothing. The function's arguments changed, so it was not run against the old one, which asked after 0.7 s whenever a peer was ahead.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -366,17 +366,12 @@
         latest
     }
 
-    /// Tells whether another host has a later change of a kind than `version`.
-    pub fn is_behind(
-        &self,
-        now: BootTime,
-        version: Version,
-        mark: impl Fn(&CopyMarks) -> Version,
-    ) -> bool {
+    /// Gets the latest version of a kind that another host tells.
+    pub fn latest(&self, now: BootTime, mark: impl Fn(&CopyMarks) -> Version) -> Version {
         let near = self.near_heard(now);
         let near = near.filter_map(|peer| Some(&peer.beat.as_ref()?.copies));
         let far = self.views(now).map(|view| &view.digest.copies);
-        near.chain(far).any(|copies| mark(copies) > version)
+        near.chain(far).map(mark).max().unwrap_or_default()
     }
 
     /// Lists the names and addresses of the other hosts of the own region.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -44,6 +44,9 @@
 /// Time after a failed call for which a host that has not called again counts as turned away: a host
 /// that is fed by others does not find out that it no longer is.
 const AWAY_TIME: Duration = Duration::from_secs(10);
+/// Time after the start in which a host waits for its region's feeders to be heard, before it watches
+/// the store itself: two beats.
+const SETTLE_TIME: Duration = Duration::from_millis(800);
 /// Interval at which watches are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Part of the bound of drains for which changes of targets gather, so that one call brings several.
@@ -101,6 +104,7 @@
     copies: StoreCopies,
     // Changes to hand on to the hosts of the region.
     outbox: RefCell<Vec<KindChanges>>,
+    started_at: BootTime,
 }
 
 impl std::fmt::Debug for StoreFollower {
@@ -132,6 +136,7 @@
             kinds,
             copies: StoreCopies::new(kernel)?,
             outbox: RefCell::new(Vec::new()),
+            started_at: boot_time(),
         })
     }
 
@@ -270,24 +275,26 @@
         if !state.listed.get() || !state.waits_long.get() {
             return false;
         }
-        let latest = self.copies.latest(kind);
-        let router = self.router.borrow();
-        let behind = match kind {
-            FollowedKind::Policy => {
-                return !self.policy.borrow().is_fresh(now, STALE_AGE)
-                    || router.fleet.is_behind(now, latest, |copies| copies.policy);
+        let told = {
+            let fleet = &self.router.borrow().fleet;
+            match kind {
+                FollowedKind::Policy => fleet.latest(now, |copies| copies.policy),
+                FollowedKind::Targets => fleet.latest(now, |copies| copies.targets),
+                FollowedKind::Evacuations => fleet.latest(now, |copies| copies.evacuations),
+                FollowedKind::Hosts => 0,
             }
-            FollowedKind::Targets => router.fleet.is_behind(now, latest, |copies| copies.targets),
-            FollowedKind::Evacuations => router
-                .fleet
-                .is_behind(now, latest, |copies| copies.evacuations),
-            FollowedKind::Hosts => false,
         };
-        let behind = behind || state.misses_changes();
+        let told = told.max(state.told.get());
+        let known = if state.misses_changes() {
+            state.complete.get()
+        } else {
+            self.copies.latest(kind)
+        };
         let mut mark = state.behind.get();
-        let asks = mark.note(now, behind, state.failed_at.get().is_some());
+        let asks = mark.note(now, known, told, state.failed_at.get().is_some());
         state.behind.set(mark);
-        asks
+        let stale = !self.policy.borrow().is_fresh(now, STALE_AGE);
+        asks || (kind == FollowedKind::Policy && stale)
     }
 
     fn confirm_by_peers(&self, now: BootTime) {
--- a/crates/gateway/src/follow/feeding.rs
+++ b/crates/gateway/src/follow/feeding.rs
@@ -1,6 +1,6 @@
 //! Feeders of a region: the hosts that watch the store hand changes on, and the others rest.
 
-use super::{CHECK_INTERVAL, FED_AGE, KindState, STALE_AGE, StoreFollower};
+use super::{CHECK_INTERVAL, FED_AGE, KindState, SETTLE_TIME, STALE_AGE, StoreFollower};
 use crate::message::{FollowedKind, KindChanges};
 use fighall_core::{clock::boot_time, ids::Version};
 use fighall_store::object::ObjectChange;
@@ -8,11 +8,13 @@
 
 impl StoreFollower {
     // A host that its region's feeders tell of changes does not call the store itself, unless it has
-    // nothing yet or missed some.
+    // nothing yet or missed some. At its start it waits for their beats.
     pub(super) async fn rest_while_fed(&self, kind: FollowedKind, state: &KindState) {
         while state.listed.get() && !state.kicked.replace(false) {
             let kicked = state.kick.listen();
-            if !self.is_fed(kind) {
+            let settling = boot_time().saturating_sub(self.started_at) < SETTLE_TIME;
+            let waits = settling && kind != FollowedKind::Policy;
+            if !waits && !self.is_fed(kind) {
                 return;
             }
             state.waits_long.set(true);
--- a/crates/gateway/tests/behind.rs
+++ b/crates/gateway/tests/behind.rs
@@ -11,7 +11,7 @@
 fn asked(failed: bool) -> Vec<Duration> {
     let mut mark = BehindMark::default();
     let looks = (0..15).map(|step| ms(10_000 + step * 200));
-    looks.filter(|now| mark.note(*now, true, failed)).collect()
+    looks.filter(|now| mark.note(*now, 4, 5, failed)).collect()
 }
 
 // Regression: a host that came back from a cut asked the store two seconds later, and sent a request
@@ -27,7 +27,28 @@
 fn a_host_that_is_fed_waits_for_its_feeders() {
     assert!(asked(false)[0] >= ms(10_700));
     let mut mark = BehindMark::default();
-    assert!(!mark.note(ms(10_000), true, false));
-    assert!(!mark.note(ms(10_600), false, false), "fed meanwhile");
-    assert!(!mark.note(ms(10_800), true, false));
+    assert!(!mark.note(ms(10_000), 4, 5, false));
+    assert!(!mark.note(ms(10_600), 5, 5, false), "fed meanwhile");
+    assert!(!mark.note(ms(10_800), 5, 6, false));
+}
+
+// Regression: while servers were added one after the other, some change was always under way, and each
+// host that was fed asked the store as well.
+#[test]
+fn a_host_that_is_fed_late_but_steadily_asks_nothing() {
+    let mut mark = BehindMark::default();
+    for step in 0..100 {
+        let told = 10 + step;
+        let known = told - 3;
+        assert!(
+            !mark.note(ms(10_000 + step * 200), known, told, false),
+            "{step}"
+        );
+    }
+    // The next change does not come.
+    let looks = (0..10).map(|step| ms(30_000 + step * 200));
+    let asked: Vec<_> = looks
+        .filter(|now| mark.note(*now, 106, 110, false))
+        .collect();
+    assert!(asked[0] <= ms(30_900), "{asked:?}");
 }
