Let hosts without feeders ask the store at once

Change: a host without feeders confirms the policy itself, at once and then at short waits; hosts that no feeder confirms to no longer reach the age at which the store counts as away while it answers them.

Conclusion: to be measured.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -75,6 +75,8 @@
     waits_long: Cell<bool>,
     // When the last call to the store failed; none after one that was answered.
     failed_at: Cell<Option<BootTime>>,
+    // When the last call that was answered ended.
+    answered_at: Cell<Option<BootTime>>,
     behind: Cell<BehindMark>,
     // Version of the store up to which no change is missing.
     complete: Cell<Version>,
@@ -200,6 +202,7 @@
                     }
                     pause = FAILURE_PAUSE.0;
                     state.failed_at.set(None);
+                    state.answered_at.set(Some(boot_time()));
                     self.note_away();
                     self.count(&name, "answered");
                     let gather = self.gather_pause(kind, &step);
@@ -307,19 +310,27 @@
         }
     }
 
-    // One host of each region confirms the policy for the others.
+    // The feeders of a region confirm the policy for the others. A host without any has to know at once
+    // whether the store is away: until then it does not take missing entries for gone.
     fn wait(&self, kind: FollowedKind) -> Duration {
         if kind != FollowedKind::Policy {
             return LONG_WAIT;
         }
         let now = boot_time();
         let router = self.router.borrow();
-        let own = &router.own;
-        let confirmer = router.fleet.feeders(now, &own.host).contains(&own.host);
-        if confirmer || !self.policy.borrow().is_fresh(now, STALE_AGE) {
+        let own = &router.own.host;
+        let confirms = router.fleet.feeders(now, own).contains(own);
+        if !confirms && router.fleet.is_fed(now, own, FED_AGE) {
+            return LONG_WAIT;
+        }
+        let answered_at = self
+            .kinds
+            .get(&kind)
+            .and_then(|state| state.answered_at.get());
+        if answered_at.is_some_and(|at| now.saturating_sub(at) < FED_AGE) {
             SHORT_WAIT
         } else {
-            LONG_WAIT
+            Duration::ZERO
         }
     }
 
