--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -32,15 +32,17 @@
     time::Duration,
 };
 
-/// Wait of the watch that confirms the policy: well below the time to revocation.
-const SHORT_WAIT: Duration = Duration::from_millis(1_000);
+/// Wait of the watch that confirms the policy: well below the time to revocation, and short, so that
+/// hosts notice soon that the store answers a feeder no longer.
+const SHORT_WAIT: Duration = Duration::from_millis(700);
 /// Wait of all other watches; each watch is a call that is paid for.
 const LONG_WAIT: Duration = Duration::from_secs(20);
 /// Age of the policy's confirmation at which a host asks the store itself.
 const STALE_AGE: Duration = Duration::from_millis(2_200);
-/// Time since the store last answered a feeder at which a host watches the store itself. What it then
-/// reads has to be in force within the bounds of drains.
-const FED_AGE: Duration = Duration::from_millis(1_700);
+/// Time since the store last answered a feeder at which a host watches the store itself: the short wait,
+/// a beat, and the way to the store and back. What it then reads has to be in force within the bounds of
+/// drains.
+const FED_AGE: Duration = Duration::from_millis(1_350);
 /// Time after a failed call for which a host that has not called again counts as turned away: a host
 /// that is fed by others does not find out that it no longer is.
 const AWAY_TIME: Duration = Duration::from_secs(10);
@@ -50,7 +52,7 @@
 /// Interval at which watches are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Part of the bound of drains for which changes of targets gather, so that one call brings several.
-const GATHER_PART: u32 = 5;
+const GATHER_PART: u32 = 10;
 /// Pause after changes of hosts, which beats tell sooner.
 const HOSTS_PAUSE: Duration = Duration::from_millis(1_000);
 /// Shortest and longest pause after a failed call.
@@ -73,6 +75,8 @@
     waits_long: Cell<bool>,
     // When the last call to the store failed; none after one that was answered.
     failed_at: Cell<Option<BootTime>>,
+    // When the last call that was answered ended.
+    answered_at: Cell<Option<BootTime>>,
     behind: Cell<BehindMark>,
     // Version of the store up to which no change is missing.
     complete: Cell<Version>,
@@ -176,8 +180,9 @@
             self.rest_while_fed(kind, state).await;
             watch.advance(state.complete.get());
             let wait = self.wait(kind);
-            state.waits_long.set(wait >= LONG_WAIT);
             watch.set_wait(wait);
+            // A list or a call that catches up is not begun anew: it brings what is missing.
+            state.waits_long.set(wait >= LONG_WAIT && watch.waits());
             let started_at = boot_time();
             let kicked = state.kick.listen();
             let step = {
@@ -197,6 +202,7 @@
                     }
                     pause = FAILURE_PAUSE.0;
                     state.failed_at.set(None);
+                    state.answered_at.set(Some(boot_time()));
                     self.note_away();
                     self.count(&name, "answered");
                     let gather = self.gather_pause(kind, &step);
@@ -284,11 +290,10 @@
                 FollowedKind::Hosts => 0,
             }
         };
-        let told = told.max(state.told.get());
-        let known = if state.misses_changes() {
-            state.complete.get()
+        let (known, told) = if state.misses_changes() {
+            (state.complete.get(), told.max(state.told.get()))
         } else {
-            self.copies.latest(kind)
+            (self.copies.latest(kind), told)
         };
         let mut mark = state.behind.get();
         let asks = mark.note(now, known, told, state.failed_at.get().is_some());
@@ -305,19 +310,27 @@
         }
     }
 
-    // One host of each region confirms the policy for the others.
+    // The feeders of a region confirm the policy for the others. A host without any has to know at once
+    // whether the store is away: until then it does not take missing entries for gone.
     fn wait(&self, kind: FollowedKind) -> Duration {
         if kind != FollowedKind::Policy {
             return LONG_WAIT;
         }
         let now = boot_time();
         let router = self.router.borrow();
-        let own = &router.own;
-        let confirmer = router.fleet.feeders(now, &own.host).contains(&own.host);
-        if confirmer || !self.policy.borrow().is_fresh(now, STALE_AGE) {
+        let own = &router.own.host;
+        let confirms = router.fleet.feeders(now, own).contains(own);
+        if !confirms && router.fleet.is_fed(now, own, FED_AGE) {
+            return LONG_WAIT;
+        }
+        let answered_at = self
+            .kinds
+            .get(&kind)
+            .and_then(|state| state.answered_at.get());
+        if answered_at.is_some_and(|at| now.saturating_sub(at) < FED_AGE) {
             SHORT_WAIT
         } else {
-            LONG_WAIT
+            Duration::ZERO
         }
     }
 
