--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,5 +1,6 @@
 //! Following of the store's kinds: the traffic policy, the targets, the evacuations and the hosts.
 
+mod checking;
 mod feeding;
 
 use crate::{
@@ -32,25 +33,19 @@
     time::Duration,
 };
 
-/// Wait of the watch that confirms the policy: well below the time to revocation, and short, so that
-/// hosts notice soon that the store answers a feeder no longer.
-const SHORT_WAIT: Duration = Duration::from_millis(700);
-/// Wait of all other watches; each watch is a call that is paid for.
-const LONG_WAIT: Duration = Duration::from_secs(20);
 /// Age of the policy's confirmation at which a host asks the store itself.
 const STALE_AGE: Duration = Duration::from_millis(2_200);
 /// Time since the store last answered a feeder at which a host watches the store itself: the short wait,
 /// a beat, and the way to the store and back. What it then reads has to be in force within the bounds of
 /// drains.
 const FED_AGE: Duration = Duration::from_millis(1_350);
-/// Time after a failed call for which a host that has not called again counts as turned away: a host
-/// that is fed by others does not find out that it no longer is.
-const AWAY_TIME: Duration = Duration::from_secs(10);
+/// Interval at which watches are checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Wait of all other watches; each watch is a call that is paid for.
+const LONG_WAIT: Duration = Duration::from_secs(20);
 /// Time after the start in which a host waits for its region's feeders to be heard, before it watches
 /// the store itself: two beats.
 const SETTLE_TIME: Duration = Duration::from_millis(800);
-/// Interval at which watches are checked.
-const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Part of the bound of drains for which changes of targets gather, so that one call brings several.
 const GATHER_PART: u32 = 10;
 /// Pause after changes of hosts, which beats tell sooner.
@@ -240,100 +235,6 @@
         state.kick.notify(usize::MAX);
     }
 
-    /// Restarts watches that went silent, and asks the store where the peers' confirmations of the
-    /// policy do not suffice.
-    pub async fn check(self: Rc<Self>) {
-        loop {
-            compio::time::sleep(CHECK_INTERVAL).await;
-            let now = boot_time();
-            self.confirm_by_peers(now);
-            self.note_away();
-            self.note_stale(now);
-            for (kind, state) in &self.kinds {
-                if self.is_silent(*kind, state, now) {
-                    self.kick(state);
-                }
-            }
-        }
-    }
-
-    // Only the policy is asked for all the time: other watches may hang without a sign.
-    fn is_away(&self, now: BootTime) -> bool {
-        let state = self.kinds.get(&FollowedKind::Policy);
-        let failed_at = state.and_then(|state| state.failed_at.get());
-        failed_at.is_some_and(|failed_at| now.saturating_sub(failed_at) < AWAY_TIME)
-    }
-
-    fn note_away(&self) {
-        let away = self.is_away(boot_time());
-        self.router.borrow_mut().fleet.set_away(away);
-    }
-
-    // A single failed call, or a watch that was cut, is no sign of absence: entries lapse only after
-    // seconds without the store.
-    fn note_stale(&self, now: BootTime) {
-        if !self.policy.borrow().is_fresh(now, STALE_AGE) {
-            self.router.borrow_mut().roster.note_away(now);
-        }
-    }
-
-    fn is_silent(&self, kind: FollowedKind, state: &KindState, now: BootTime) -> bool {
-        if !state.listed.get() || !state.waits_long.get() {
-            return false;
-        }
-        let told = {
-            let fleet = &self.router.borrow().fleet;
-            match kind {
-                FollowedKind::Policy => fleet.latest(now, |copies| copies.policy),
-                FollowedKind::Targets => fleet.latest(now, |copies| copies.targets),
-                FollowedKind::Evacuations => fleet.latest(now, |copies| copies.evacuations),
-                FollowedKind::Hosts => 0,
-            }
-        };
-        let (known, told) = if state.misses_changes() {
-            (state.complete.get(), told.max(state.told.get()))
-        } else {
-            (self.copies.latest(kind), told)
-        };
-        let mut mark = state.behind.get();
-        let asks = mark.note(now, known, told, state.failed_at.get().is_some());
-        state.behind.set(mark);
-        let stale = !self.policy.borrow().is_fresh(now, STALE_AGE);
-        asks || (kind == FollowedKind::Policy && stale)
-    }
-
-    fn confirm_by_peers(&self, now: BootTime) {
-        let version = self.copies.latest(FollowedKind::Policy);
-        let confirmed = self.router.borrow().fleet.confirmed_at(now, version);
-        if let Some(confirmed) = confirmed {
-            self.policy.borrow_mut().confirm(confirmed);
-        }
-    }
-
-    // The feeders of a region confirm the policy for the others. A host without any has to know at once
-    // whether the store is away: until then it does not take missing entries for gone.
-    fn wait(&self, kind: FollowedKind) -> Duration {
-        if kind != FollowedKind::Policy {
-            return LONG_WAIT;
-        }
-        let now = boot_time();
-        let router = self.router.borrow();
-        let own = &router.own.host;
-        let confirms = router.fleet.feeders(now, own).contains(own);
-        if !confirms && router.fleet.is_fed(now, own, FED_AGE) {
-            return LONG_WAIT;
-        }
-        let answered_at = self
-            .kinds
-            .get(&kind)
-            .and_then(|state| state.answered_at.get());
-        if answered_at.is_some_and(|at| now.saturating_sub(at) < FED_AGE) {
-            SHORT_WAIT
-        } else {
-            Duration::ZERO
-        }
-    }
-
     fn store_kind(&self, kind: FollowedKind) -> String {
         match kind {
             FollowedKind::Policy => (self.dialect.policy_object)().0,
