Count a demand only once it has been measured

A host takes its part of the spill from what is known when its first request comes; by then its peers told of their first requests in flight, averaged from zero, and these passed for the demand.

Change: a host tells its demand of a service four seconds after the first request; before, the region's demand is worked out from the hosts that know theirs, and where none does the assumption of the start holds. The average no longer begins at zero.

Test: the_first_requests_of_other_hosts_are_not_taken_for_the_demand; with four seconds set to zero it is red (0 of the traffic goes elsewhere).

--- a/crates/bench/src/placing.rs
+++ b/crates/bench/src/placing.rs
@@ -287,7 +287,7 @@
 
 #[allow(clippy::cast_possible_truncation)]
 fn digest(now: Duration, router: &RequestRouter) -> RegionDigest {
-    let demands = router.demands().into_iter();
+    let demands = router.demands(now).into_iter();
     RegionDigest {
         region: router.own.region.clone(),
         relay: router.own.host.clone(),
@@ -297,6 +297,8 @@
         hosts: Vec::new(),
         copies: CopyMarks::default(),
         uses: Vec::new(),
-        demands: demands.map(|(name, value)| (name, value as f32)).collect(),
+        demands: demands
+            .filter_map(|(name, value)| Some((name, value? as f32)))
+            .collect(),
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -245,18 +245,21 @@
         demands
     }
 
-    /// Sums the requests in flight for a service by region at the other hosts that are heard.
-    pub fn service_demands(&self, now: BootTime, service: &str) -> BTreeMap<RegionId, f64> {
-        let mut demands: BTreeMap<RegionId, f64> = BTreeMap::new();
-        for peer in self.near_heard(now) {
-            let beat = peer.beat.as_ref();
-            let demand = beat.and_then(|beat| beat.demands.get(service));
-            let demand = f64::from(demand.copied().unwrap_or(0.0));
-            *demands.entry(self.region.clone()).or_default() += demand;
-        }
+    /// Lists the requests in flight for a service at the other hosts of the own region that serve some;
+    /// none of those that do not know theirs yet.
+    pub fn near_demands(&self, now: BootTime, service: &str) -> impl Iterator<Item = Option<f64>> {
+        let beats = self.near_heard(now).filter_map(|peer| peer.beat.as_ref());
+        let demands = beats.filter_map(move |beat| beat.demands.get(service));
+        demands.map(|demand| demand.map(f64::from))
+    }
+
+    /// Gets the requests in flight for a service by the other regions whose relays tell it.
+    pub fn far_demands(&self, now: BootTime, service: &str) -> BTreeMap<RegionId, f64> {
+        let mut demands = BTreeMap::new();
         for view in self.views(now) {
-            let demand = view.digest.demands.get(service).copied().unwrap_or(0.0);
-            demands.insert(view.digest.region.clone(), f64::from(demand));
+            if let Some(demand) = view.digest.demands.get(service) {
+                demands.insert(view.digest.region.clone(), f64::from(*demand));
+            }
         }
         demands
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod copies;
 pub mod daemon;
 pub mod decision;
+pub mod demand;
 pub mod dialect;
 pub mod directory;
 pub mod errors;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -141,9 +141,9 @@
         /// Uses of organisations' rates that changed lately.
         #[serde(rename = "u")]
         pub uses: Vec<OrgUse>,
-        /// Requests in flight by service.
+        /// Requests in flight by service; none where they are not known yet.
         #[serde(rename = "d")]
-        pub demands: BTreeMap<ServiceId, f32>,
+        pub demands: BTreeMap<ServiceId, Option<f32>>,
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -25,7 +25,7 @@
 use slog::{Logger, debug, info, warn};
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -291,7 +291,7 @@
             leaving: self.is_leaving(),
             copies: self.follower.marks(now),
             uses,
-            demands: self.own_demands(),
+            demands: self.own_demands(now),
         }
     }
 
@@ -305,10 +305,15 @@
             ready: self.serves(now),
             leaving: self.is_leaving(),
         });
-        let mut demands = self.own_demands();
-        for peer in router.fleet.near_heard(now) {
-            for (service, demand) in peer.beat.iter().flat_map(|beat| &beat.demands) {
-                *demands.entry(service.clone()).or_default() += demand;
+        let beats = router.fleet.near_heard(now);
+        let beats = beats.filter_map(|peer| peer.beat.as_ref());
+        let mut services: BTreeSet<_> = beats.flat_map(|beat| beat.demands.keys()).collect();
+        let own = router.demands(now);
+        services.extend(own.keys());
+        let mut demands = BTreeMap::new();
+        for service in services {
+            if let Some(demand) = router.region_demand(now, service) {
+                demands.insert(service.clone(), single(demand));
             }
         }
         RegionDigest {
@@ -338,11 +343,11 @@
         self.kernel.signal().stage() > LifeStage::Running
     }
 
-    fn own_demands(&self) -> BTreeMap<ServiceId, f32> {
-        let demands = self.router.borrow().demands();
+    fn own_demands(&self, now: BootTime) -> BTreeMap<ServiceId, Option<f32>> {
+        let demands = self.router.borrow().demands(now);
         demands
             .into_iter()
-            .map(|(service, demand)| (service, single(demand)))
+            .map(|(service, demand)| (service, demand.map(single)))
             .collect()
     }
 
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     decision::{OwnHost, PlacementAsk, PlacementRefusal, TargetPlacement},
+    demand::{self, ServiceDemand},
     fleet::FleetTable,
     limit::{FleetLimiter, OrgLimit},
     placement::{self, CONSIDERED, PlacementOption, WeighedTarget, WorkEstimate},
@@ -30,8 +31,6 @@
     Duration::from_millis(3),
     Duration::from_millis(60),
 );
-/// Weight of a sample of the own requests in flight, taken several times a second.
-const DEMAND_WEIGHT: f64 = 0.05;
 /// Time after which a caller may come back when every target rests.
 const REST_RETRY: Duration = Duration::from_millis(300);
 /// Part of the repeats allowed that is used: arrivals are counted at the target, later than here,
@@ -60,8 +59,7 @@
     memory: WorkMemory,
     spills: BTreeMap<ServiceId, SpillControl>,
     weights: BTreeMap<ServiceId, BTreeMap<RegionId, f64>>,
-    in_flight: BTreeMap<ServiceId, u32>,
-    demands: BTreeMap<ServiceId, f64>,
+    demands: BTreeMap<ServiceId, ServiceDemand>,
     // Shortest time that opening a connection into each region took.
     distances: BTreeMap<RegionId, Duration>,
 }
@@ -81,7 +79,6 @@
             memory: WorkMemory::default(),
             spills: BTreeMap::new(),
             weights: BTreeMap::new(),
-            in_flight: BTreeMap::new(),
             demands: BTreeMap::new(),
             distances: BTreeMap::new(),
         }
@@ -111,13 +108,16 @@
         let options = self.retry_options();
         let budget = self.budgets.entry(service.to_owned()).or_default();
         budget.note_request(now, &options);
-        *self.in_flight.entry(service.to_owned()).or_default() += 1;
+        self.demands
+            .entry(service.to_owned())
+            .or_default()
+            .start(now);
     }
 
     /// Counts a request of a caller as ended.
     pub fn leave(&mut self, service: &str) {
-        if let Some(count) = self.in_flight.get_mut(service) {
-            *count = count.saturating_sub(1);
+        if let Some(demand) = self.demands.get_mut(service) {
+            demand.end();
         }
     }
 
@@ -271,18 +271,30 @@
         record.ration.take(now, &options, target, own, &hosts)
     }
 
-    /// Gets this host's requests in flight by service, averaged, for peers.
-    pub fn demands(&self) -> BTreeMap<ServiceId, f64> {
-        self.demands.clone()
+    /// Gets this host's requests in flight by service, averaged, for peers; none of a service whose
+    /// demand is not known yet.
+    pub fn demands(&self, now: BootTime) -> BTreeMap<ServiceId, Option<f64>> {
+        let mut demands = BTreeMap::new();
+        for (service, demand) in &self.demands {
+            demands.insert(service.clone(), demand.measured(now));
+        }
+        demands
+    }
+
+    /// Gets the requests of the own region's callers in flight for a service.
+    pub fn region_demand(&self, now: BootTime, service: &str) -> Option<f64> {
+        let own = self.demands.get(service);
+        let own = own.map(|demand| demand.measured(now));
+        let near = self.fleet.near_demands(now, service);
+        demand::of_region(near.chain(own))
     }
 
     /// Renews what follows from the time: averages, parts that spill, entries that lapsed. Returns
     /// the names of targets that were dropped.
     pub fn tick(&mut self, now: BootTime, policy: &TrafficPolicy) -> Vec<TargetId> {
         let expired = self.roster.expire(now);
-        for (service, count) in &self.in_flight {
-            let demand = self.demands.entry(service.clone()).or_default();
-            *demand += (f64::from(*count) - *demand) * DEMAND_WEIGHT;
+        for demand in self.demands.values_mut() {
+            demand.sample();
         }
         self.limiter
             .set_fleet(self.fleet.count(), self.fleet.heard(now));
@@ -306,9 +318,10 @@
                 room.slots += f64::from(record.entry.slots);
             }
         }
-        let mut demands = self.fleet.service_demands(now, service);
-        let own = self.demands.get(service).copied().unwrap_or(0.0);
-        *demands.entry(self.own.region.clone()).or_default() += own;
+        let mut demands = self.fleet.far_demands(now, service);
+        if let Some(demand) = self.region_demand(now, service) {
+            demands.insert(self.own.region.clone(), demand);
+        }
         // Right after the start nothing was measured yet.
         let measured = demands.values().sum::<f64>() >= 1.0;
         for (region, demand) in demands.into_iter().filter(|_| measured) {
--- a/crates/gateway/tests/routing.rs
+++ b/crates/gateway/tests/routing.rs
@@ -2,8 +2,11 @@
 
 use fighall_gateway::{
     decision::{OwnHost, PlacementAsk},
+    demand::of_region,
+    message::{CopyMarks, PeerBeat},
     policy::{ServicePolicy, TrafficPolicy},
     refusal::{RequestRank, RequestTimes},
+    registry::HostEntry,
     roster::{TargetEntry, TargetRoster},
     router::RequestRouter,
     settings::GatewayBounds,
@@ -103,3 +106,66 @@
     let far = far_part(&mut router, second(5), 600);
     assert!((0.5..0.75).contains(&far), "{far}");
 }
+
+// Regression: after all hosts had been killed, the first requests in flight at some were taken for the
+// whole demand by those that had none yet. A region with a tenth of the targets kept four fifths of its
+// traffic, and for ten seconds a fifth of what it served ran out of time.
+#[test]
+fn the_first_requests_of_other_hosts_are_not_taken_for_the_demand() {
+    let policy = policy();
+    let mut first = router(&["norr", "mitt", "syd"]);
+    let mut second_one = router(&["norr", "mitt", "syd"]);
+    for router in [&mut first, &mut second_one] {
+        list(router, "norr", 30);
+        list(router, "mitt", 120);
+        list(router, "syd", 144);
+        router.tick(second(4), &policy);
+    }
+    let peer = HostEntry {
+        host: "h0".to_owned(),
+        incarnation: 1,
+        region: "norr".to_owned(),
+        zone: "norr-a".to_owned(),
+        callers: ([127, 0, 0, 1], 1).into(),
+        peers: ([127, 0, 0, 1], 2).into(),
+    };
+    second_one.fleet.register(peer);
+    for _ in 0..40 {
+        first.enter(second(4), SERVICE);
+    }
+    for step in 1..8 {
+        let now = second(4) + Duration::from_millis(200 * step);
+        first.tick(now, &policy);
+        let beat = PeerBeat {
+            host: "h0".to_owned(),
+            incarnation: 1,
+            sent_us: step,
+            echo: None,
+            ready: true,
+            leaving: false,
+            copies: CopyMarks::default(),
+            uses: Vec::new(),
+            demands: singles(&first.demands(now)),
+        };
+        second_one.fleet.take_beat(now, beat);
+        second_one.tick(now, &policy);
+    }
+    second_one.enter(second(6), SERVICE);
+    let far = far_part(&mut second_one, second(6), 600);
+    assert!((0.5..0.75).contains(&far), "{far}");
+}
+
+#[allow(clippy::cast_possible_truncation)]
+fn singles(demands: &BTreeMap<String, Option<f64>>) -> BTreeMap<String, Option<f32>> {
+    let demands = demands.iter();
+    demands
+        .map(|(name, demand)| (name.clone(), demand.map(|demand| demand as f32)))
+        .collect()
+}
+
+#[test]
+fn hosts_that_have_not_measured_their_demand_count_like_the_others() {
+    let demand = of_region([Some(6.0), None, Some(4.0), None].into_iter());
+    assert_eq!(demand, Some(20.0));
+    assert_eq!(of_region([None, None].into_iter()), None);
+}
