--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -73,6 +73,8 @@
     // When the last call that was answered ended.
     answered_at: Cell<Option<BootTime>>,
     behind: Cell<BehindMark>,
+    // Since when a call to the store is under way.
+    calling_since: Cell<Option<BootTime>>,
     // Version of the store up to which no change is missing.
     complete: Cell<Version>,
     // Latest version up to which a feeder told of changes; above `complete` some are missing.
@@ -176,10 +178,10 @@
             watch.advance(state.complete.get());
             let wait = self.wait(kind);
             watch.set_wait(wait);
-            // A list or a call that catches up is not begun anew: it brings what is missing.
-            state.waits_long.set(wait >= LONG_WAIT && watch.waits());
+            state.waits_long.set(wait >= LONG_WAIT);
             let started_at = boot_time();
             let kicked = state.kick.listen();
+            state.calling_since.set(Some(started_at));
             let step = {
                 let step = watch.step(&self.store).fuse();
                 let kicked = kicked.fuse();
@@ -189,6 +191,7 @@
                     () = kicked => None,
                 }
             };
+            state.calling_since.set(None);
             match step {
                 None => self.count(&name, "restarted"),
                 Some(Ok(step)) => {
--- a/crates/gateway/src/follow/checking.rs
+++ b/crates/gateway/src/follow/checking.rs
@@ -12,6 +12,10 @@
 /// that is fed by others does not find out that it no longer is.
 const AWAY_TIME: Duration = Duration::from_secs(10);
 
+/// Time for which a call that is under way is left alone: a large policy takes half a second on a slow
+/// link, and a call that is begun anew starts over.
+const CALL_PATIENCE: Duration = Duration::from_millis(1_000);
+
 impl StoreFollower {
     /// Restarts watches that went silent, and asks the store where the peers' confirmations of the
     /// policy do not suffice.
@@ -54,6 +58,11 @@
         if !state.listed.get() || !state.waits_long.get() {
             return false;
         }
+        // It brings what is missing, unless its connection is dead.
+        let called_at = state.calling_since.get();
+        if called_at.is_some_and(|at| now.saturating_sub(at) < CALL_PATIENCE) {
+            return false;
+        }
         let told = {
             let fleet = &self.router.borrow().fleet;
             match kind {
@@ -63,6 +72,11 @@
                 FollowedKind::Hosts => 0,
             }
         };
+        if kind == FollowedKind::Policy {
+            // Policies are mostly too large for feeders to hand them on.
+            let stale = !self.policy.borrow().is_fresh(now, STALE_AGE);
+            return stale || told > self.copies.latest(kind);
+        }
         let (known, told) = if state.misses_changes() {
             (state.complete.get(), told.max(state.told.get()))
         } else {
@@ -71,8 +85,7 @@
         let mut mark = state.behind.get();
         let asks = mark.note(now, known, told, state.failed_at.get().is_some());
         state.behind.set(mark);
-        let stale = !self.policy.borrow().is_fresh(now, STALE_AGE);
-        asks || (kind == FollowedKind::Policy && stale)
+        asks
     }
 
     fn confirm_by_peers(&self, now: BootTime) {
--- a/crates/gateway/src/follow/feeding.rs
+++ b/crates/gateway/src/follow/feeding.rs
@@ -4,7 +4,11 @@
 use crate::message::{FollowedKind, KindChanges};
 use fighall_core::{clock::boot_time, ids::Version};
 use fighall_store::object::ObjectChange;
-use slog::info;
+use slog::{debug, info};
+
+/// Bytes that handing one policy on to all hosts of a region may take: a fifth of a second on a link of
+/// 10 Mbit/s. What follows waits as long, and leaving targets have to be told in time.
+const POLICY_FEED_LIMIT: usize = 256_000;
 
 impl StoreFollower {
     // A host that its region's feeders tell of changes does not call the store itself, unless it has
@@ -76,6 +80,12 @@
         let Some(first) = first.filter(|_| router.fleet.feeders(now, own).contains(own)) else {
             return;
         };
+        let values = changes.iter().filter_map(|change| change.value.as_ref());
+        let bytes = values.map(String::len).sum::<usize>() * router.fleet.near().count();
+        if kind == FollowedKind::Policy && bytes > POLICY_FEED_LIMIT {
+            debug!(self.logger, "policy too large to hand on"; "bytes" => bytes);
+            return;
+        }
         self.outbox.borrow_mut().push(KindChanges {
             kind,
             // The other feeder may have told of some of these changes already.
