Tell new loans from known ones in one place

The ledgers of rates and of slots each kept the askings without an answer and the loans taken in, with the same loop over an answer's grants and the same pruning. `AskedLoans` does both.

--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -33,6 +33,7 @@
 #![forbid(unsafe_code)]
 
 pub mod amount;
+mod asked;
 mod asking;
 pub mod base;
 pub mod book;
--- a/crates/quota/src/rate.rs
+++ b/crates/quota/src/rate.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     amount::{MicroRate, MicroTokens, QuotaLimit, TOKEN, gain, time_for},
+    asked::AskedLoans,
     base::{BaseHolder, BaseShare, ShareStart},
     demand::DemandRate,
     loan::{IdSource, LoanId},
@@ -115,8 +116,7 @@
     refreshed_at: BootTime,
     lent: BTreeMap<LoanId, LentLoan>,
     borrowed: BTreeMap<LoanId, BorrowedLoan>,
-    pending: BTreeMap<LoanId, BootTime>,
-    accepted: BTreeMap<LoanId, BootTime>,
+    asked: AskedLoans,
     demand: DemandRate,
     steady_demand: DemandRate,
     // Sum of the borrowed portions, and the time before which settling changes no loan.
@@ -141,8 +141,7 @@
             refreshed_at: now,
             lent: BTreeMap::new(),
             borrowed: BTreeMap::new(),
-            pending: BTreeMap::new(),
-            accepted: BTreeMap::new(),
+            asked: AskedLoans::default(),
             demand: DemandRate::new(now),
             steady_demand: DemandRate::with_smoothing(now),
             borrowed_sum: QuotaLimit::default(),
@@ -206,7 +205,7 @@
         self.active = false;
         self.borrowed.clear();
         self.borrowed_sum = QuotaLimit::default();
-        self.pending.clear();
+        self.asked.cancel();
         self.tokens = 0;
     }
 
@@ -261,7 +260,7 @@
     /// Tells whether there is no demand to speak of and nothing borrowed, so that nothing has to be
     /// asked for, renewed or given back.
     pub fn is_idle(&self, now: BootTime) -> bool {
-        self.borrowed.is_empty() && self.pending.is_empty() && self.demand.rate(now) < IDLE_DEMAND
+        self.borrowed.is_empty() && !self.asked.is_pending() && self.demand.rate(now) < IDLE_DEMAND
     }
 
     /// Gets the time until the last loan that this host lent has ended for certain.
--- a/crates/quota/src/rate/lending.rs
+++ b/crates/quota/src/rate/lending.rs
@@ -3,6 +3,7 @@
 use super::{BorrowedLoan, LentLoan, LentSource, RateLedger};
 use crate::{
     amount::{MicroTokens, QuotaLimit},
+    asked::NewLoan,
     loan::{
         LoanAnswer, LoanAsk, LoanExtension, LoanGrant, LoanId, LoanMessage, LoanRenewal,
         LoanReturn, OutgoingLoan, QuotaKey,
@@ -24,7 +25,7 @@
         tokens: MicroTokens,
     ) -> LoanAsk {
         let id = self.ids.issue();
-        self.pending.insert(id.clone(), now);
+        self.asked.ask(now, &id);
         LoanAsk {
             id,
             key: key.clone(),
@@ -71,20 +72,16 @@
         }
     }
 
-    /// Takes in the loans of an answer. Answers to unknown askings, loans that came twice and
-    /// loans that have ended change nothing. Returns the tokens taken in.
+    /// Takes in the new loans of an answer. Returns the tokens taken in.
     pub fn accept(&mut self, now: BootTime, lender: &str, answer: &LoanAnswer) -> MicroTokens {
         self.settle(now);
-        let Some(asked_at) = self.pending.get(&answer.ask).copied() else {
-            return 0;
-        };
         let mut gained = 0;
-        for grant in &answer.grants {
-            let expires_at = asked_at + grant.term;
-            if expires_at <= now || self.accepted.contains_key(&grant.id) {
-                continue;
-            }
-            self.accepted.insert(grant.id.clone(), expires_at);
+        for new_loan in self.asked.accept(now, answer) {
+            let NewLoan {
+                grant,
+                asked_at,
+                expires_at,
+            } = new_loan;
             let loan = BorrowedLoan {
                 lender: lender.to_owned(),
                 portion: grant.portion,
@@ -165,7 +162,7 @@
             return;
         }
         loan.expires_at = loan.expires_at.max(loan.renewal_sent_at + extension.term);
-        self.accepted.insert(extension.id.clone(), loan.expires_at);
+        self.asked.note_end(&extension.id, loan.expires_at);
     }
 
     /// Gives back loans that the own demand does not need, or all of them. A loan of which a part
--- a/crates/quota/src/rate/settling.rs
+++ b/crates/quota/src/rate/settling.rs
@@ -25,9 +25,7 @@
         }
         self.refill(now);
         self.reclaim(now);
-        let term = self.options.term;
-        self.pending.retain(|_, asked_at| *asked_at + term > now);
-        self.accepted.retain(|_, expires_at| *expires_at > now);
+        self.asked.prune(now, self.options.term);
         self.settled_until = self.next_change(now);
     }
 
--- a/crates/quota/src/slots.rs
+++ b/crates/quota/src/slots.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     amount::{QuotaLimit, TOKEN},
+    asked::AskedLoans,
     base::{BaseShare, ShareStart},
     loan::{
         IdSource, LoanAnswer, LoanAsk, LoanGrant, LoanId, LoanMessage, LoanReturn, OutgoingLoan,
@@ -114,8 +115,7 @@
     own_used: u32,
     lent: BTreeMap<LoanId, LentSlots>,
     borrowed: BTreeMap<LoanId, BorrowedSlots>,
-    pending: BTreeMap<LoanId, BootTime>,
-    accepted: BTreeMap<LoanId, BootTime>,
+    asked: AskedLoans,
 }
 
 impl SlotLedger {
@@ -130,8 +130,7 @@
             own_used: 0,
             lent: BTreeMap::new(),
             borrowed: BTreeMap::new(),
-            pending: BTreeMap::new(),
-            accepted: BTreeMap::new(),
+            asked: AskedLoans::default(),
         }
     }
 
@@ -177,7 +176,7 @@
     /// Stops the use of everything: the member id has moved.
     pub fn deactivate(&mut self) {
         self.active = false;
-        self.pending.clear();
+        self.asked.cancel();
         for loan in self.borrowed.values_mut() {
             loan.count = loan.used;
         }
@@ -236,7 +235,7 @@
     /// Creates the asking for `count` slots.
     pub fn ask(&mut self, now: BootTime, key: &QuotaKey, count: u32) -> LoanAsk {
         let id = self.ids.issue();
-        self.pending.insert(id.clone(), now);
+        self.asked.ask(now, &id);
         let tokens = u64::from(count) * TOKEN;
         LoanAsk {
             id,
@@ -278,25 +277,18 @@
         }
     }
 
-    /// Takes in the loans of an answer; returns the number of slots gained.
+    /// Takes in the new loans of an answer; returns the number of slots gained.
     pub fn accept(&mut self, now: BootTime, lender: &str, answer: &LoanAnswer) -> u32 {
         self.settle(now);
-        let Some(asked_at) = self.pending.get(&answer.ask).copied() else {
-            return 0;
-        };
         let mut gained = 0;
-        for grant in &answer.grants {
-            let expires_at = asked_at + grant.term;
-            if expires_at <= now || self.accepted.contains_key(&grant.id) {
-                continue;
-            }
-            self.accepted.insert(grant.id.clone(), expires_at);
+        for new_loan in self.asked.accept(now, answer) {
+            let grant = new_loan.grant;
             let count = u32::try_from(grant.portion.capacity / TOKEN).unwrap_or(0);
             let loan = BorrowedSlots {
                 lender: lender.to_owned(),
                 count,
                 used: 0,
-                expires_at,
+                expires_at: new_loan.expires_at,
             };
             self.borrowed.insert(grant.id.clone(), loan);
             gained += count;
@@ -355,13 +347,11 @@
 
     fn settle(&mut self, now: BootTime) {
         let idle = self.borrowed.is_empty() && self.lent.is_empty();
-        if idle && self.pending.is_empty() && self.accepted.is_empty() {
+        if idle && self.asked.is_empty() {
             return;
         }
         self.borrowed.retain(|_, loan| loan.expires_at > now);
         self.lent.retain(|_, loan| loan.reclaim_at > now);
-        let term = self.options.term;
-        self.pending.retain(|_, asked_at| *asked_at + term > now);
-        self.accepted.retain(|_, expires_at| *expires_at > now);
+        self.asked.prune(now, self.options.term);
     }
 }
