Say once whether a host feeds or is fed; drop repeated work

Found when the change was read again: whether this host feeds its region, and whether others feed it, was worked out in three places; a request's arrival was read from the clock twice; what a kind's state is was looked up again where it was at hand; each poll of a connection cleared its read buffer also when nothing was read; two tests set up the same router and entry. Two comments said what the code no longer does. Behaviour as before; assertions unchanged.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -176,7 +176,7 @@
         loop {
             self.rest_while_fed(kind, state).await;
             watch.advance(state.complete.get());
-            let wait = self.wait(kind);
+            let wait = self.wait(kind, state);
             watch.set_wait(wait);
             state.waits_long.set(wait >= LONG_WAIT);
             let started_at = boot_time();
@@ -204,7 +204,7 @@
                     self.note_away();
                     self.count(&name, "answered");
                     let gather = self.gather_pause(kind, &step);
-                    self.take(kind, step, started_at, wait);
+                    self.take(kind, state, step, started_at, wait);
                     compio::time::sleep(gather).await;
                 }
                 Some(Err(error)) => {
@@ -247,20 +247,25 @@
         }
     }
 
-    fn take(&self, kind: FollowedKind, step: WatchStep, started_at: BootTime, wait: Duration) {
+    fn take(
+        &self,
+        kind: FollowedKind,
+        state: &KindState,
+        step: WatchStep,
+        started_at: BootTime,
+        wait: Duration,
+    ) {
         let now = boot_time();
         match step {
             WatchStep::Listed { list, sent_at } => {
-                if let Some(state) = self.kinds.get(&kind) {
-                    state.complete.set(list.version);
-                    state.told.set(list.version);
-                }
+                state.complete.set(list.version);
+                state.told.set(list.version);
                 let names: BTreeSet<_> = list.objects.iter().map(|o| o.name.clone()).collect();
                 for object in &list.objects {
                     self.copies.take_object(kind, now, object);
                 }
                 self.copies.keep_only(kind, now, list.version, names);
-                self.note_complete(kind, sent_at.unwrap_or_default());
+                self.confirm(kind, state, sent_at.unwrap_or_default());
             }
             WatchStep::Changed {
                 changes,
@@ -269,9 +274,7 @@
             } => {
                 let quiet = changes.is_empty();
                 self.hand_on(kind, version, &changes);
-                if let Some(state) = self.kinds.get(&kind) {
-                    state.note_complete(version);
-                }
+                state.note_complete(version);
                 for change in changes {
                     self.copies.take_change(kind, now, change);
                 }
@@ -282,18 +285,17 @@
                 } else {
                     sent_at
                 };
-                self.note_complete(kind, complete_at);
+                self.confirm(kind, state, complete_at);
             }
         }
     }
 
-    fn note_complete(&self, kind: FollowedKind, at: BootTime) {
+    // The copy of a kind was complete at `at`; zero where that is not known.
+    fn confirm(&self, kind: FollowedKind, state: &KindState, at: BootTime) {
         if at.is_zero() {
             return;
         }
-        if let Some(state) = self.kinds.get(&kind) {
-            state.listed.set(true);
-        }
+        state.listed.set(true);
         if kind == FollowedKind::Policy {
             self.policy.borrow_mut().confirm(at);
         }
--- a/crates/gateway/src/follow/checking.rs
+++ b/crates/gateway/src/follow/checking.rs
@@ -58,7 +58,7 @@
         if !state.listed.get() || !state.waits_long.get() {
             return false;
         }
-        // It brings what is missing, unless its connection is dead.
+        // A call under way brings what is missing, unless its connection is dead.
         let called_at = state.calling_since.get();
         if called_at.is_some_and(|at| now.saturating_sub(at) < CALL_PATIENCE) {
             return false;
@@ -98,21 +98,15 @@
 
     // The feeders of a region confirm the policy for the others. A host without any has to know at once
     // whether the store is away: until then it does not take missing entries for gone.
-    pub(super) fn wait(&self, kind: FollowedKind) -> Duration {
+    pub(super) fn wait(&self, kind: FollowedKind, state: &KindState) -> Duration {
         if kind != FollowedKind::Policy {
             return LONG_WAIT;
         }
         let now = boot_time();
-        let router = self.router.borrow();
-        let own = &router.own.host;
-        let confirms = router.fleet.feeders(now, own).contains(own);
-        if !confirms && router.fleet.is_fed(now, own, FED_AGE) {
+        if self.is_fed(now) {
             return LONG_WAIT;
         }
-        let answered_at = self
-            .kinds
-            .get(&kind)
-            .and_then(|state| state.answered_at.get());
+        let answered_at = state.answered_at.get();
         if answered_at.is_some_and(|at| now.saturating_sub(at) < FED_AGE) {
             SHORT_WAIT
         } else {
--- a/crates/gateway/src/follow/feeding.rs
+++ b/crates/gateway/src/follow/feeding.rs
@@ -2,7 +2,10 @@
 
 use super::{CHECK_INTERVAL, FED_AGE, KindState, SETTLE_TIME, STALE_AGE, StoreFollower};
 use crate::message::{FollowedKind, KindChanges};
-use fighall_core::{clock::boot_time, ids::Version};
+use fighall_core::{
+    clock::boot_time,
+    ids::{BootTime, Version},
+};
 use fighall_store::object::ObjectChange;
 use slog::{debug, info};
 
@@ -18,7 +21,7 @@
             let kicked = state.kick.listen();
             let settling = boot_time().saturating_sub(self.started_at) < SETTLE_TIME;
             let waits = settling && kind != FollowedKind::Policy;
-            if !waits && !self.is_fed(kind) {
+            if !waits && !self.may_rest(kind) {
                 return;
             }
             state.waits_long.set(true);
@@ -26,13 +29,22 @@
         }
     }
 
-    fn is_fed(&self, kind: FollowedKind) -> bool {
+    fn may_rest(&self, kind: FollowedKind) -> bool {
         let now = boot_time();
+        let stale = kind == FollowedKind::Policy && !self.policy.borrow().is_fresh(now, STALE_AGE);
+        !stale && self.is_fed(now)
+    }
+
+    fn feeds(&self, now: BootTime) -> bool {
         let router = self.router.borrow();
         let own = &router.own.host;
-        let feeds = router.fleet.feeders(now, own).contains(own);
-        let stale = kind == FollowedKind::Policy && !self.policy.borrow().is_fresh(now, STALE_AGE);
-        !feeds && !stale && router.fleet.is_fed(now, own, FED_AGE)
+        router.fleet.feeders(now, own).contains(own)
+    }
+
+    // Whether others feed this host, and the store answers them.
+    pub(super) fn is_fed(&self, now: BootTime) -> bool {
+        let router = self.router.borrow();
+        !self.feeds(now) && router.fleet.is_fed(now, &router.own.host, FED_AGE)
     }
 
     /// Takes the changes that are to be handed on to the other hosts of the region.
@@ -73,15 +85,13 @@
 
     // Hosts that have seen the same changes do not hand them on twice.
     pub(super) fn hand_on(&self, kind: FollowedKind, version: Version, changes: &[ObjectChange]) {
-        let now = boot_time();
-        let router = self.router.borrow();
-        let own = &router.own.host;
         let first = changes.iter().map(|change| change.version).min();
-        let Some(first) = first.filter(|_| router.fleet.feeders(now, own).contains(own)) else {
+        let Some(first) = first.filter(|_| self.feeds(boot_time())) else {
             return;
         };
         let values = changes.iter().filter_map(|change| change.value.as_ref());
-        let bytes = values.map(String::len).sum::<usize>() * router.fleet.near().count();
+        let bytes =
+            values.map(String::len).sum::<usize>() * self.router.borrow().fleet.near().count();
         if kind == FollowedKind::Policy && bytes > POLICY_FEED_LIMIT {
             debug!(self.logger, "policy too large to hand on"; "bytes" => bytes);
             return;
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -94,7 +94,9 @@
         let marks = (self.dialect.read_caller)(request.headers());
         let id = marks.request.clone();
         let mut route_name = String::new();
-        let result = self.handle(request, marks, &turn, &mut route_name).await;
+        let result = self
+            .handle(request, marks, arrived_at, &turn, &mut route_name)
+            .await;
         let now = boot_time();
         let outcome = match &result {
             Ok(answer) => format!("answered {}", answer.status.as_u16()),
@@ -145,10 +147,10 @@
         &self,
         request: Request<CallerContent>,
         marks: CallerMarks,
+        arrived_at: BootTime,
         turn: &RequestTurn,
         route_name: &mut String,
     ) -> std::result::Result<WholeAnswer, RequestRefusal> {
-        let arrived_at = boot_time();
         if !self.follower.is_complete() {
             return Err(unready());
         }
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -4,24 +4,13 @@
 
 use fighall_core::{clock::boot_time, log::quiet_logger};
 use fighall_gateway::{
-    copies::StoreCopies,
-    decision::OwnHost,
-    knowledge::PolicyCopy,
-    message::FollowedKind,
-    metrics::GatewayMetrics,
-    names, native,
-    roster::{TargetEntry, TargetRoster},
-    router::RequestRouter,
-    settings::GatewayBounds,
+    copies::StoreCopies, knowledge::PolicyCopy, message::FollowedKind, metrics::GatewayMetrics,
+    names, native, router::RequestRouter,
 };
 use fighall_kernel::kernel::MicroKernel;
 use fighall_store::object::ObjectChange;
-use std::{
-    cell::RefCell,
-    collections::{BTreeMap, BTreeSet},
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
+use support::{new_router, target_entry};
 
 const KIND: FollowedKind = FollowedKind::Targets;
 
@@ -31,15 +20,7 @@
 }
 
 fn copies() -> TestCopies {
-    let own = OwnHost {
-        host: "h1".to_owned(),
-        region: "lima".to_owned(),
-        zone: "lima-a".to_owned(),
-        incarnation: 1,
-    };
-    let roster = TargetRoster::new(BTreeMap::new());
-    let router = RequestRouter::new(boot_time(), own, GatewayBounds::default(), roster);
-    let router = Rc::new(RefCell::new(router));
+    let router = new_router();
     let kernel = MicroKernel::new();
     let metrics = GatewayMetrics::new().expect("metrics");
     let registered = [
@@ -57,16 +38,7 @@
 }
 
 fn change(version: u64, leaving: bool) -> ObjectChange {
-    let entry = TargetEntry {
-        name: "t1".to_owned(),
-        service: "quotes".to_owned(),
-        address: ([127, 0, 0, 1], 9_000).into(),
-        zone: "lima-a".to_owned(),
-        slots: 8,
-        leaving,
-        cold_for: Duration::ZERO,
-        born: None,
-    };
+    let entry = target_entry("t1", ([127, 0, 0, 1], 9_000).into(), leaving);
     ObjectChange {
         name: "t1".to_owned(),
         version,
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -4,15 +4,12 @@
 
 use fighall_core::{clock::boot_time, log::quiet_logger};
 use fighall_gateway::{
-    decision::OwnHost,
     follow::StoreFollower,
     knowledge::PolicyCopy,
     message::{FollowedKind, KindChanges},
     metrics::GatewayMetrics,
     names, native,
-    roster::{TargetEntry, TargetRoster},
     router::RequestRouter,
-    settings::GatewayBounds,
 };
 use fighall_kernel::kernel::MicroKernel;
 use fighall_store::{
@@ -20,7 +17,8 @@
     object::ObjectChange,
 };
 use fighall_testkit::{platform::PlatformStandIn, relay::FaultRelay};
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use support::{new_router, target_entry};
 
 const KIND: FollowedKind = FollowedKind::Targets;
 
@@ -32,15 +30,7 @@
 }
 
 fn new_kernel(store: SocketAddr) -> (Rc<MicroKernel>, Rc<RefCell<RequestRouter>>) {
-    let own = OwnHost {
-        host: "h1".to_owned(),
-        region: "lima".to_owned(),
-        zone: "lima-a".to_owned(),
-        incarnation: 1,
-    };
-    let roster = TargetRoster::new(BTreeMap::new());
-    let router = RequestRouter::new(boot_time(), own, GatewayBounds::default(), roster);
-    let router = Rc::new(RefCell::new(router));
+    let router = new_router();
     let dialect = native::dialect();
     let client = StoreClient::new(ClientOptions::with_address(store.to_string()));
     let client = client.expect("a client").with_mapping(dialect.store);
@@ -116,16 +106,7 @@
 }
 
 fn leaving(target: &str, version: u64) -> ObjectChange {
-    let entry = TargetEntry {
-        name: target.to_owned(),
-        service: "quotes".to_owned(),
-        address: ([127, 0, 0, 1], 9_000).into(),
-        zone: "lima-a".to_owned(),
-        slots: 8,
-        leaving: true,
-        cold_for: Duration::ZERO,
-        born: None,
-    };
+    let entry = target_entry(target, ([127, 0, 0, 1], 9_000).into(), true);
     ObjectChange {
         name: target.to_owned(),
         version,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,20 +2,22 @@
 
 #![allow(dead_code)]
 
-use fighall_core::log::quiet_logger;
+use fighall_core::{clock::boot_time, log::quiet_logger};
 use fighall_gateway::{
+    decision::OwnHost,
     native::{self, MAIN_POLICY, POLICIES, TARGETS},
     node::GatewayNode,
     policy::{OrgPolicy, RoutePolicy, ServicePolicy, SplitPart, TrafficPolicy},
     reload::SettingsFile,
-    roster::TargetEntry,
-    settings::GatewaySettings,
+    roster::{TargetEntry, TargetRoster},
+    router::RequestRouter,
+    settings::{GatewayBounds, GatewaySettings},
 };
 use fighall_testkit::{
     behaviour::TargetBehaviour, loopback::program_addresses, platform::PlatformStandIn,
     target::TargetStandIn,
 };
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 /// Key of the only organisation.
 pub(crate) const KEY: &str = "fk_andes";
@@ -47,6 +49,19 @@
     (text, settings.expect("settings without findings"))
 }
 
+/// Creates a router without targets and peers.
+pub(crate) fn new_router() -> Rc<RefCell<RequestRouter>> {
+    let own = OwnHost {
+        host: "h1".to_owned(),
+        region: "lima".to_owned(),
+        zone: "lima-a".to_owned(),
+        incarnation: 1,
+    };
+    let roster = TargetRoster::new(BTreeMap::new());
+    let router = RequestRouter::new(boot_time(), own, GatewayBounds::default(), roster);
+    Rc::new(RefCell::new(router))
+}
+
 pub(crate) fn policy(version: u64) -> TrafficPolicy {
     let mut policy = TrafficPolicy {
         version,
@@ -90,6 +105,20 @@
     policy
 }
 
+/// Creates the entry of a target.
+pub(crate) fn target_entry(name: &str, address: SocketAddr, leaving: bool) -> TargetEntry {
+    TargetEntry {
+        name: name.to_owned(),
+        service: "quotes".to_owned(),
+        address,
+        zone: "lima-a".to_owned(),
+        slots: 8,
+        leaving,
+        cold_for: Duration::ZERO,
+        born: None,
+    }
+}
+
 pub(crate) fn list(store: &PlatformStandIn, name: &str, address: SocketAddr) {
     list_leaving(store, name, address, false);
 }
@@ -101,16 +130,7 @@
     address: SocketAddr,
     leaving: bool,
 ) {
-    let entry = TargetEntry {
-        name: name.to_owned(),
-        service: "quotes".to_owned(),
-        address,
-        zone: "lima-a".to_owned(),
-        slots: 8,
-        leaving,
-        cold_for: Duration::ZERO,
-        born: None,
-    };
+    let entry = target_entry(name, address, leaving);
     let text = serde_json::to_string(&entry).expect("an entry");
     store.put(TARGETS, name, &text);
 }
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -107,6 +107,7 @@
         let handler = &handler;
         async move {
             let mut response = match pipeline.take_early() {
+                // Only a request that panicked has no answer; the panic was printed.
                 Some(answer) => answer.await.map_err(|_| Error::Unanswered)?,
                 None => handler(request.map(CallerContent::Left), pipeline.turn()).await,
             };
--- a/crates/net/src/pipeline.rs
+++ b/crates/net/src/pipeline.rs
@@ -119,8 +119,12 @@
 
     /// Gets the turn of the request that is served now.
     pub fn turn(&self) -> RequestTurn {
+        self.turn_of(self.count.answered.get())
+    }
+
+    fn turn_of(&self, number: u64) -> RequestTurn {
         RequestTurn {
-            number: self.count.answered.get(),
+            number,
             count: Rc::clone(&self.count),
         }
     }
@@ -154,7 +158,7 @@
         }
     }
 
-    // Takes in bytes of the connection and starts what may start.
+    // Takes in bytes of the connection and tells its requests apart.
     fn take_in(&self, bytes: &[u8]) {
         let mut state = self.state.borrow_mut();
         state.ahead.extend_from_slice(bytes);
@@ -175,10 +179,7 @@
                 let Some(parts) = read_parts(bytes) else {
                     return;
                 };
-                let turn = RequestTurn {
-                    number: request.number,
-                    count: Rc::clone(&self.count),
-                };
+                let turn = self.turn_of(request.number);
                 request.answer = Some(compio::runtime::spawn((self.start)(parts, turn)));
             }
             if !request.lets_others_run() {
@@ -294,7 +295,6 @@
         mut cursor: ReadBufCursor<'_>,
     ) -> Poll<Result<()>> {
         let pipeline = Rc::clone(&self.pipeline);
-        let mut bytes = [0; READ_SIZE];
         loop {
             let passed = pipeline.pass_on(&mut cursor);
             pipeline.start_early();
@@ -305,6 +305,7 @@
             if pipeline.is_full() {
                 return Poll::Pending;
             }
+            let mut bytes = [0; READ_SIZE];
             let read = ready!(self.stream.poll_bytes(cx, &mut bytes))?;
             if read == 0 {
                 if !pipeline.is_serving() {
