gateway: keep to targets that announce their leaving or pause a host

Cause: the platform's targets now announce in all their responses that they leave (DRAIN), and a target that answers 503 may state for how long it accepts nothing from the host (BUDGET). Neither header was read: a host whose copy of the targets is behind went on sending, and a refusing target got a request for each that hashed to it. Change: both are decoded in the dialects and recorded with the target. Leaving stays with the incarnation, whatever later entries say; a pause is never shortened, ends by itself, and counts as no failure. A request that only paused targets could serve is refused at once, with the time until the first of them accepts requests. Conclusion: a response of another target at the same address (421, another identifier) says nothing of this one.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -100,16 +100,17 @@
 }
 
 impl PlacementRefusal {
-    /// Sets the time after which the caller may retry to `token_wait`, after which a limited target accepts a
-    /// request, unless the refusal allows an earlier retry. [`Duration::MAX`] stands for no such target.
-    pub fn with_token_wait(mut self, token_wait: Duration) -> Self {
-        if token_wait == Duration::MAX {
+    /// Sets the time after which the caller may retry to `target_wait`, after which a target that is limited or
+    /// paused accepts a request, unless the refusal allows an earlier retry. [`Duration::MAX`] stands for no
+    /// such target.
+    pub fn with_target_wait(mut self, target_wait: Duration) -> Self {
+        if target_wait == Duration::MAX {
             return self;
         }
-        let token_wait = refusal::clamp_retry_after(token_wait);
+        let target_wait = refusal::clamp_retry_after(target_wait);
         match &mut self {
-            Self::NoTarget { retry_after } => *retry_after = token_wait,
-            Self::Busy { retry_after, .. } => *retry_after = token_wait.min(*retry_after),
+            Self::NoTarget { retry_after } => *retry_after = target_wait,
+            Self::Busy { retry_after, .. } => *retry_after = target_wait.min(*retry_after),
             Self::Ending { .. } => {}
         }
         self
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -63,6 +63,13 @@
         pub idle_timeout: Option<Duration>,
         /// Rate limit that the target names for all hosts together.
         pub limit: LimitReport,
+        /// Whether the target announces that it is leaving.
+        pub leaving: bool,
+        /// Time for which the target accepts no requests of this host. [`send_attempt`] keeps it only with
+        /// status 503.
+        ///
+        /// [`send_attempt`]: crate::sender::send_attempt
+        pub retry_after: Option<Duration>,
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,5 +48,6 @@
 pub mod spill;
 pub mod split;
 pub mod target_limit;
+pub mod target_pause;
 pub mod target_share;
 pub mod work;
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -9,6 +9,7 @@
     roster::TargetEntry,
     settings::GatewayBounds,
     target_limit::read_limit,
+    target_pause::read_pause,
 };
 use fighall_core::message;
 use fighall_net::headers::{
@@ -51,6 +52,9 @@
     }
 }
 
+/// Response header by which a target announces that it is leaving, with the value `1`.
+pub const LEAVING_HEADER: HeaderName = HeaderName::from_static("fighall-leaving");
+
 /// Creates the native dialect.
 pub fn dialect() -> WireDialect {
     WireDialect {
@@ -146,6 +150,8 @@
         cold_for: None,
         idle_timeout: None,
         limit: read_limit(headers, &LIMIT_HEADER),
+        leaving: header_text(headers, &LEAVING_HEADER).as_deref() == Some("1"),
+        retry_after: read_pause(headers),
     }
 }
 
--- a/crates/gateway/src/placement_log.rs
+++ b/crates/gateway/src/placement_log.rs
@@ -1,7 +1,9 @@
 //! Log records of attempts at targets and of the limits that targets name.
 
 use crate::{
-    decision::TargetPlacement, router::limits::LimitChanges, sender::AttemptOutcome,
+    decision::TargetPlacement,
+    router::{limits::LimitChanges, outcomes::TargetNotice},
+    sender::AttemptOutcome,
     target_limit::LimitChange,
 };
 use slog::{Logger, info, warn};
@@ -61,3 +63,15 @@
         }
     }
 }
+
+/// Logs what a target announced with the response to a request.
+pub fn log_notices(logger: &Logger, request: &str, target: &str, notices: &[TargetNotice]) {
+    for notice in notices {
+        match notice {
+            TargetNotice::Leaving => info!(logger, "target announced its leaving";
+                "request" => request, "target" => target),
+            TargetNotice::Paused(duration) => info!(logger, "target paused";
+                "request" => request, "target" => target, "for_ms" => duration.as_millis()),
+        }
+    }
+}
--- a/crates/gateway/src/proxy/attempts.rs
+++ b/crates/gateway/src/proxy/attempts.rs
@@ -4,7 +4,7 @@
 use crate::{
     decision::{PlacementQuery, SentRequest, TargetPlacement},
     dialect::{ResponseMetadata, TargetMetadata},
-    placement_log::{log_attempt, log_limit_changes},
+    placement_log::{log_attempt, log_limit_changes, log_notices},
     policy::ServicePolicy,
     request::AdmittedRequest,
     router::RequestRouter,
@@ -51,6 +51,7 @@
             &response_metadata,
             &outcome,
         );
+        self.record_notices(now, request, placement, &response_metadata, &outcome);
         let mut router = self.router.borrow_mut();
         router.record_target_report(now, &placement.target, &response_metadata);
         let ejected = record_outcome(
@@ -126,6 +127,28 @@
         }
     }
 
+    // A misdirected request reached another target, and a response to another request may come from one.
+    fn record_notices(
+        &self,
+        now: BootTime,
+        request: &AdmittedRequest,
+        placement: &TargetPlacement,
+        metadata: &ResponseMetadata,
+        outcome: &AttemptOutcome,
+    ) {
+        let misdirected = matches!(outcome, AttemptOutcome::Rejected { misdirected: true });
+        let identifier = metadata.request.as_ref();
+        if misdirected || identifier.is_some_and(|identifier| *identifier != request.prepared.id) {
+            return;
+        }
+        let target = &placement.target;
+        let notices = self
+            .router
+            .borrow_mut()
+            .record_notices(now, target, metadata);
+        log_notices(&self.logger, &request.prepared.id, target, &notices);
+    }
+
     fn record_stale_connection(&self, now: BootTime, request: &str, idle_for: Duration) {
         let mut bound = self.reuse_bound.borrow_mut();
         if bound.record_dead(now, idle_for) {
@@ -158,7 +181,7 @@
             unreachable: true, ..
         } => router.record_unreachable(now, sent, service),
         AttemptOutcome::Rejected { .. } => {
-            router.record_rejection(sent);
+            router.record_rejection(now, sent);
             false
         }
         AttemptOutcome::Unknown {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     health::TargetHealth, load::TargetLoad, millis, ration::WarmupLimiter,
-    target_limit::TargetLimiter,
+    target_limit::TargetLimiter, target_pause::TargetPause,
 };
 use fighall_core::{
     ids::{BootTime, RegionId, ServiceId, TargetId, ZoneId},
@@ -86,6 +86,10 @@
     pub warmup_limiter: WarmupLimiter,
     /// Rate limit that it names itself.
     pub limiter: TargetLimiter,
+    /// Time for which it accepts no requests of this host.
+    pub pause: TargetPause,
+    // Whether a response announced that this incarnation is leaving. The entry in the store may be older.
+    announced_leaving: bool,
     expires_at: Option<BootTime>,
     // Time until which the entry is not relied on.
     untrusted_until: BootTime,
@@ -97,6 +101,19 @@
         now < self.warmup_until
     }
 
+    /// Records that the target announced in a response that it is leaving. Returns whether this was not
+    /// known before.
+    pub fn record_leaving(&mut self) -> bool {
+        let is_new = !self.is_leaving();
+        self.announced_leaving = true;
+        is_new
+    }
+
+    /// Tells whether the target is leaving, according to its entry or to one of its responses.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.leaving || self.announced_leaving
+    }
+
     /// Extends the warm-up of the target to `at`; never shortens it.
     pub fn extend_warmup(&mut self, at: BootTime) {
         self.warmup_until = self.warmup_until.max(at);
@@ -114,9 +131,19 @@
 #[derive(Debug)]
 struct DepartedTarget {
     entry: TargetEntry,
+    announced_leaving: bool,
     left_at: BootTime,
 }
 
+impl DepartedTarget {
+    // Tells whether the incarnation that wrote `entry` has announced its departure.
+    fn has_left(&self, entry: &TargetEntry) -> bool {
+        let same_incarnation = self.entry.started_ms == entry.started_ms;
+        let announced = self.announced_leaving && entry.started_ms.is_some();
+        same_incarnation && (announced || self.entry.leaving && entry.is_replaced_by(&self.entry))
+    }
+}
+
 /// `TargetRoster` holds all listed targets by name and by service.
 #[derive(Debug, Default)]
 pub struct TargetRoster {
@@ -158,10 +185,9 @@
             self.remove(&name);
         }
         let departed = self.departed.get(&entry.name);
-        let departed = departed.map(|departed| &departed.entry);
-        let departed = departed.filter(|departed| departed.started_ms == entry.started_ms);
+        let departed = departed.filter(|departed| departed.entry.started_ms == entry.started_ms);
         // A target that announced its departure does not come back.
-        if departed.is_some_and(|departed| departed.leaving && entry.is_replaced_by(departed)) {
+        if departed.is_some_and(|departed| departed.has_left(&entry)) {
             return false;
         }
         let restored_until = self.restored_at.map(|at| at + RESTORE_GRACE);
@@ -183,6 +209,8 @@
             health: TargetHealth::default(),
             warmup_limiter: WarmupLimiter::default(),
             limiter: TargetLimiter::default(),
+            pause: TargetPause::default(),
+            announced_leaving: false,
             expires_at: None,
             untrusted_until,
             entry,
@@ -213,7 +241,7 @@
             return;
         };
         // An untrusted entry was never used, so it needs no grace period.
-        if record.entry.leaving || now < record.untrusted_until {
+        if record.is_leaving() || now < record.untrusted_until {
             self.remove_departed(now, name);
             return;
         }
@@ -277,7 +305,7 @@
         let untrusted = now < record.untrusted_until;
         !expired
             && !untrusted
-            && !record.entry.leaving
+            && !record.is_leaving()
             && !self.evacuated_zones.contains(&record.entry.zone)
     }
 
@@ -319,21 +347,22 @@
 
     // Removes a target and remembers its last entry.
     fn remove_departed(&mut self, now: BootTime, name: &str) {
-        let Some(entry) = self.remove(name) else {
+        let Some(record) = self.remove(name) else {
             return;
         };
         let departed = DepartedTarget {
-            entry,
+            announced_leaving: record.announced_leaving,
+            entry: record.entry,
             left_at: now,
         };
         self.departed.insert(name.to_owned(), departed);
     }
 
-    fn remove(&mut self, name: &str) -> Option<TargetEntry> {
+    fn remove(&mut self, name: &str) -> Option<RosterRecord> {
         let record = self.records.remove(name)?;
         if let Some(names) = self.service_targets.get_mut(&record.entry.service) {
             names.remove(name);
         }
-        Some(record.entry)
+        Some(record)
     }
 }
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -160,7 +160,7 @@
         let mut token_wait = Duration::MAX;
         loop {
             let best = self.best_target(now, query, &work, &excluded);
-            let placement = best.map_err(|refusal| refusal.with_token_wait(token_wait))?;
+            let placement = best.map_err(|refusal| refusal.with_target_wait(token_wait))?;
             if !refusal::finishes_in_time(now, self.ends_at, placement.expected_latency) {
                 return Err(PlacementRefusal::Ending {
                     expected: placement.expected_latency,
@@ -190,7 +190,7 @@
                     retry_after,
                     expected: placement.expected_latency,
                 };
-                return Err(refusal.with_token_wait(token_wait));
+                return Err(refusal.with_target_wait(token_wait));
             }
             self.take_limit_token(&placement.target);
             let hosts = u32::try_from(self.fleet.host_count()).unwrap_or(u32::MAX);
@@ -238,7 +238,8 @@
         let Some(chosen) = placement::choose(&options, work) else {
             return Err(PlacementRefusal::NoTarget {
                 retry_after: NO_TARGET_RETRY_AFTER,
-            });
+            }
+            .with_target_wait(self.pause_wait(now, query)));
         };
         let record = candidates[ranked[chosen]];
         let option = &options[chosen];
@@ -268,19 +269,36 @@
     ) -> Vec<&RosterRecord> {
         let mut candidates = Vec::new();
         for record in self.roster.of_service(&query.service) {
-            let allowed = query
-                .allowed_regions
-                .as_ref()
-                .is_none_or(|allowed_regions| allowed_regions.contains(&record.region));
-            let available =
-                self.roster.accepts_requests(now, record) && !record.health.is_ejected(now);
-            if allowed && available && !excluded.contains(&record.entry.name) {
+            let available = self.is_available(now, query, record)
+                && !record.pause.is_active(now)
+                && !excluded.contains(&record.entry.name);
+            if available {
                 candidates.push(record);
             }
         }
         candidates
     }
 
+    fn is_available(&self, now: BootTime, query: &PlacementQuery, record: &RosterRecord) -> bool {
+        let allowed = query
+            .allowed_regions
+            .as_ref()
+            .is_none_or(|allowed_regions| allowed_regions.contains(&record.region));
+        allowed && self.roster.accepts_requests(now, record) && !record.health.is_ejected(now)
+    }
+
+    // Gets the time until the first of the targets that pause accepts requests again; [`Duration::MAX`] if
+    // none pauses.
+    fn pause_wait(&self, now: BootTime, query: &PlacementQuery) -> Duration {
+        let mut wait = Duration::MAX;
+        for record in self.roster.of_service(&query.service) {
+            if record.pause.is_active(now) && self.is_available(now, query, record) {
+                wait = wait.min(record.pause.time_left(now));
+            }
+        }
+        wait
+    }
+
     fn weight(&self, service: &str, record: &RosterRecord) -> f64 {
         let weights = self.region_weights.get(service);
         let weight = weights.and_then(|weights| weights.get(&record.region));
--- a/crates/gateway/src/router/outcomes.rs
+++ b/crates/gateway/src/router/outcomes.rs
@@ -6,9 +6,19 @@
     dialect::ResponseMetadata,
     policy::ServicePolicy,
 };
-use fighall_core::ids::BootTime;
+use fighall_core::{ids::BootTime, value};
 use std::time::Duration;
 
+value! {
+    /// `TargetNotice` is what a target announces about the requests that it accepts.
+    pub enum TargetNotice {
+        /// It is leaving.
+        Leaving,
+        /// It accepts no requests of this host for this time.
+        Paused(Duration),
+    }
+}
+
 impl RequestRouter {
     /// Counts an attempt as in flight at its target. The result is passed to [`RequestRouter::end_attempt`]
     /// and to the function below that records the outcome.
@@ -79,6 +89,29 @@
         }
     }
 
+    /// Records that a target announced with a response that it is leaving, or that it accepts no requests of
+    /// this host for some time. Returns what was not known before.
+    pub fn record_notices(
+        &mut self,
+        now: BootTime,
+        target: &str,
+        metadata: &ResponseMetadata,
+    ) -> Vec<TargetNotice> {
+        let Some(record) = self.roster.get_mut(target) else {
+            return Vec::new();
+        };
+        let mut notices = Vec::new();
+        if metadata.leaving && record.record_leaving() {
+            notices.push(TargetNotice::Leaving);
+        }
+        if let Some(duration) = metadata.retry_after
+            && record.pause.extend(now, duration)
+        {
+            notices.push(TargetNotice::Paused(duration));
+        }
+        notices
+    }
+
     /// Records the load and the remaining warm-up that a target reports with a response.
     pub fn record_target_report(
         &mut self,
@@ -97,9 +130,12 @@
         }
     }
 
-    /// Records that the target rejected a request without running it.
-    pub fn record_rejection(&mut self, sent: &SentRequest) {
-        if let Some(record) = self.roster.get_mut(&sent.target) {
+    /// Records that the target rejected a request without running it. A rejection that requests a pause is no
+    /// failure: the target gets no requests until its end anyway.
+    pub fn record_rejection(&mut self, now: BootTime, sent: &SentRequest) {
+        if let Some(record) = self.roster.get_mut(&sent.target)
+            && !record.pause.is_active(now)
+        {
             record.health.record_failure();
         }
     }
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -235,7 +235,10 @@
             return (ResponseMetadata::default(), outcome, false);
         }
     };
-    let metadata = (dialect.read_response_headers)(response.headers());
+    let mut metadata = (dialect.read_response_headers)(response.headers());
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        metadata.retry_after = None;
+    }
     match read_response(budget, response).await {
         Ok(response) => (metadata, AttemptOutcome::Answered(response), true),
         Err(cause) => (metadata, invalid_response(cause), false),
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -6,6 +6,7 @@
     policy_copy::PolicyCopy,
     roster::{TargetEntry, TargetRoster},
     split::RoundRobin,
+    target_pause::TargetPause,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -225,3 +226,48 @@
     roster.mark_unlisted(seconds(12), "t1");
     assert_eq!(roster.expire(seconds(13)), ["t1"]);
 }
+
+// Regression: the store's entry of a target that had announced its leaving in a response still said that it
+// was ready, and the host went on sending to it.
+#[test]
+fn announced_leaving_outlives_entries_that_say_ready_but_not_the_incarnation() {
+    let mut roster = roster();
+    roster.upsert(seconds(1), entry("t1"));
+    let record = roster.get_mut("t1").expect("a listed target");
+    assert!(record.record_leaving());
+    assert!(!record.record_leaving(), "known already");
+    let later = TargetEntry {
+        sequence: 1,
+        ..entry("t1")
+    };
+    roster.upsert(seconds(2), later.clone());
+    let accepts = |roster: &TargetRoster| {
+        let record = roster.get("t1");
+        record.is_some_and(|record| roster.accepts_requests(seconds(3), record))
+    };
+    assert!(!accepts(&roster));
+    roster.mark_unlisted(seconds(3), "t1");
+    roster.upsert(seconds(3), later);
+    assert!(!accepts(&roster), "listed again by the same incarnation");
+    let restarted = TargetEntry {
+        started_ms: Some(2),
+        ..entry("t1")
+    };
+    roster.upsert(seconds(3), restarted);
+    assert!(accepts(&roster));
+}
+
+#[test]
+fn pause_is_never_shortened_and_ends_by_itself() {
+    let mut pause = TargetPause::default();
+    assert!(!pause.is_active(seconds(1)));
+    assert!(pause.extend(seconds(1), seconds(3)));
+    assert!(
+        !pause.extend(seconds(2), seconds(1)),
+        "it is active already"
+    );
+    assert_eq!(pause.time_left(seconds(2)), seconds(2));
+    assert!(!pause.is_active(seconds(4)));
+    assert!(!pause.extend(seconds(5), Duration::ZERO));
+    assert!(pause.extend(seconds(5), Duration::MAX));
+}
--- a/crates/testkit/src/behaviour.rs
+++ b/crates/testkit/src/behaviour.rs
@@ -35,6 +35,10 @@
         pub load_lag_ms: u64,
         /// Values of the header that names a rate limit; none without a limit.
         pub limits: Vec<String>,
+        /// Announces in every response that the target is leaving.
+        pub announces_leaving: bool,
+        /// Value of `Retry-After` in responses that shed a request, in seconds; absent if empty.
+        pub shed_retry_after: String,
     }
 }
 
@@ -55,6 +59,8 @@
             lies_load: None,
             load_lag_ms: 0,
             limits: Vec::new(),
+            announces_leaving: false,
+            shed_retry_after: String::new(),
         }
     }
 }
--- a/crates/testkit/src/target.rs
+++ b/crates/testkit/src/target.rs
@@ -37,6 +37,8 @@
 const LOAD_HEADER: &str = "fighall-load";
 /// Header that names the rate limit of the target.
 const LIMIT_HEADER: &str = "fighall-limit";
+/// Header by which a target announces that it is leaving.
+const LEAVING_HEADER: &str = "fighall-leaving";
 /// Start of all keys.
 const KEY_PREFIX: &str = "fk_";
 /// Starts kept for each organisation.
@@ -200,13 +202,19 @@
             _ => {
                 let result = Rc::clone(&self).work(request).await;
                 self.used.borrow_mut().insert(connection, boot_time());
-                result.map(|response| self.with_limits(response))
+                result.map(|response| self.with_notices(response))
             }
         }
     }
 
-    fn with_limits(&self, mut response: Response<StandInBody>) -> Response<StandInBody> {
-        for limit in &self.behaviour.borrow().limits {
+    // Adds the headers that go with every response to a request.
+    fn with_notices(&self, mut response: Response<StandInBody>) -> Response<StandInBody> {
+        let behaviour = self.behaviour.borrow();
+        if behaviour.announces_leaving {
+            let leaving = HeaderValue::from_static("1");
+            response.headers_mut().insert(LEAVING_HEADER, leaving);
+        }
+        for limit in &behaviour.limits {
             if let Ok(value) = HeaderValue::from_str(limit) {
                 response.headers_mut().append(LIMIT_HEADER, value);
             }
@@ -264,7 +272,12 @@
         }
         if behaviour.sheds && self.record.borrow().in_flight >= behaviour.slots {
             self.record.borrow_mut().shed += 1;
-            return Ok(not_run(StatusCode::SERVICE_UNAVAILABLE));
+            let mut response = not_run(StatusCode::SERVICE_UNAVAILABLE);
+            let retry_after = HeaderValue::from_str(&behaviour.shed_retry_after);
+            if let Some(retry_after) = retry_after.ok().filter(|value| !value.is_empty()) {
+                response.headers_mut().insert("retry-after", retry_after);
+            }
+            return Ok(response);
         }
         let mut guard = FlightGuard::new(&self);
         body.collect().await.map_err(|_| BrokenExchange)?;
