gateway: starting hosts do not forward what every host reads itself

A host that was not ready was no candidate for relay and store watcher either, so hosts that start together all picked themselves for as long. Change: a host forwards nothing before its copy is complete and until it knows the hosts that started with it (1.8 s). Relays and store watchers are picked from the live hosts that are not leaving, ready or not.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -231,9 +231,10 @@
         self.local_peers().filter(move |peer| peer.is_live(now))
     }
 
-    fn serving_local_peers(&self, now: BootTime) -> impl Iterator<Item = &FleetPeer> {
-        self.local_peers()
-            .filter(move |peer| peer.accepts_callers(now))
+    // Lists the hosts of the own region that may be relays and store watchers. Whether they serve callers
+    // does not matter: hosts that start together would otherwise all pick themselves until they do.
+    fn remaining_local_peers(&self, now: BootTime) -> impl Iterator<Item = &FleetPeer> {
+        self.live_local_peers(now).filter(|peer| !peer.leaving)
     }
 
     /// Gets the number of registered hosts, including this one.
--- a/crates/gateway/src/fleet/relays.rs
+++ b/crates/gateway/src/fleet/relays.rs
@@ -14,12 +14,12 @@
 pub const RELAY_KEY: &str = "relay";
 
 impl FleetTable {
-    /// Tells whether `own_host` is the relay of its region: the first by hash of the hosts that serve
-    /// callers. The state of the store is not considered, because each change of the relay loses the
+    /// Tells whether `own_host` is the relay of its region: the first by hash of the hosts that are
+    /// live and not leaving. The state of the store is not considered, because each change of the relay loses the
     /// admissions that are in transit.
     pub fn is_relay(&self, now: BootTime, own_host: &str) -> bool {
-        let serving = self.serving_local_peers(now);
-        let mut hosts: Vec<_> = serving.map(|peer| peer.entry.host.as_str()).collect();
+        let remaining = self.remaining_local_peers(now);
+        let mut hosts: Vec<_> = remaining.map(|peer| peer.entry.host.as_str()).collect();
         hosts.push(own_host);
         let picked = rendezvous::top(RELAY_KEY, &hosts, 1, |host| *host);
         picked.first().is_some_and(|picked| **picked == own_host)
@@ -31,7 +31,7 @@
     pub fn store_watchers(&self, now: BootTime, own_host: &str) -> Vec<HostId> {
         let mut available = Vec::new();
         let mut failing = Vec::new();
-        for peer in self.serving_local_peers(now) {
+        for peer in self.remaining_local_peers(now) {
             let is_failing = peer
                 .heartbeat
                 .as_ref()
--- a/crates/gateway/src/follow/forwarding.rs
+++ b/crates/gateway/src/follow/forwarding.rs
@@ -14,10 +14,14 @@
 };
 use fighall_store::object::ObjectChange;
 use slog::{debug, info};
+use std::time::Duration;
 
 /// Largest number of bytes for forwarding one policy to all hosts of a region: a fifth of a second on a
 /// 10 Mbit/s link. Later messages queue behind it, and leaving targets have to be announced in time.
 const MAX_FORWARDED_POLICY_BYTES: usize = 256_000;
+/// Time after the start for which a host forwards no changes: it does not know the hosts that started with it
+/// before the next watch of the hosts and two heartbeat intervals.
+const FORWARDING_GRACE: Duration = Duration::from_millis(1_800);
 
 impl StoreFollower {
     // Waits while store watchers forward changes to this host. It returns at once if nothing has been
@@ -107,6 +111,18 @@
         }
     }
 
+    // Hosts that start together do not know each other yet, so each takes itself for a store watcher. What
+    // the calls of a start return, every other host reads itself.
+    fn may_forward(&self, kind: FollowedKind) -> bool {
+        let now = boot_time();
+        let listed = self
+            .kinds
+            .get(&kind)
+            .is_some_and(|state| state.listed.get());
+        let is_starting = now.saturating_sub(self.started_at) < FORWARDING_GRACE;
+        listed && !is_starting && self.is_store_watcher(now)
+    }
+
     // Queues changes for the other hosts of the region. Only store watchers do so, or every host that has
     // seen a change would forward it again.
     pub(super) fn queue_changes(
@@ -116,8 +132,7 @@
         changes: &[ObjectChange],
     ) {
         let first_version = changes.iter().map(|change| change.version).min();
-        let Some(first_version) = first_version.filter(|_| self.is_store_watcher(boot_time()))
-        else {
+        let Some(first_version) = first_version.filter(|_| self.may_forward(kind)) else {
             return;
         };
         let values = changes.iter().filter_map(|change| change.value.as_ref());
