--- a/crates/bench/src/placing.rs
+++ b/crates/bench/src/placing.rs
@@ -10,7 +10,7 @@
     decision::{OwnHost, PlacementQuery, SentRequest},
     dialect::ResponseMetadata,
     load::LoadReport,
-    message::{CopyStatus, RegionDigest},
+    message::{CopyStatus, ZoneDigest},
     placement::{WeightedTarget, rank},
     policy::{ServicePolicy, TrafficPolicy},
     refusal::{RequestLimits, RequestPriority},
@@ -298,10 +298,11 @@
 }
 
 #[allow(clippy::cast_possible_truncation)]
-fn digest(now: Duration, router: &RequestRouter) -> RegionDigest {
+fn digest(now: Duration, router: &RequestRouter) -> ZoneDigest {
     let demands = router.own_demands(now).into_iter();
-    RegionDigest {
+    ZoneDigest {
         region: router.own_host.region.clone(),
+        zone: router.own_host.zone.clone(),
         relay: router.own_host.host.clone(),
         incarnation: 1,
         sent_us: now.as_micros() as u64,
@@ -310,8 +311,8 @@
         copies: CopyStatus::default(),
         usages: Vec::new(),
         demands: demands
-            .filter_map(|(name, value)| Some((name, value? as f32)))
+            .map(|(name, value)| (name, value.map(|value| value as f32)))
             .collect(),
-        limits: router.region_limit_claims(now),
+        limits: router.zone_limit_claims(now),
     }
 }
--- a/crates/gateway/src/demand.rs
+++ b/crates/gateway/src/demand.rs
@@ -46,16 +46,17 @@
     }
 }
 
-/// Estimates the demand of a region from that of its hosts. Hosts without a measurement are assumed to
-/// have the mean demand of the others; the result is absent if no host has a measurement.
-pub fn estimate_region_demand(hosts: impl Iterator<Item = Option<f64>>) -> Option<f64> {
-    let (mut total, mut measured_hosts, mut host_count) = (0.0, 0_u32, 0_u32);
-    for demand in hosts {
-        host_count += 1;
+/// Estimates the demand of a zone from that of its hosts, or of a region from that of its zones. Parts
+/// without a measurement are assumed to have the mean demand of the others; the result is absent if no
+/// part has a measurement.
+pub fn estimate_demand(parts: &[Option<f64>]) -> Option<f64> {
+    let (mut total, mut measured_parts, mut part_count) = (0.0, 0_u32, 0_u32);
+    for demand in parts {
+        part_count += 1;
         if let Some(demand) = demand {
             total += demand;
-            measured_hosts += 1;
+            measured_parts += 1;
         }
     }
-    (measured_hosts > 0).then(|| total * f64::from(host_count) / f64::from(measured_hosts))
+    (measured_parts > 0).then(|| total * f64::from(part_count) / f64::from(measured_parts))
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,57 +1,61 @@
 //! Fleet membership as this host sees it: the registered hosts, when the last heartbeat of each was
 //! received, and the state that they reported.
 //!
-//! Hosts of a region send heartbeats to each other. One of them, the relay, sends a digest of its region
-//! to the relays of the other regions, which forward it to their hosts. Thus a host's messages grow with
-//! the size of its region and the number of regions, and only relays send messages between regions.
+//! Hosts of an availability zone send heartbeats to each other. One of them, the relay, sends a digest of its
+//! zone to a host of each other zone, which forwards it within that zone. The store watchers of a region
+//! also exchange heartbeats with all hosts of the region. Thus a host's messages grow with the size of its
+//! zone and the number of zones, and few messages leave a zone.
 
 pub mod holders;
 pub mod peer;
 pub mod relays;
 
 use crate::{
-    fleet::peer::{FleetPeer, RegionView},
-    message::{CopyStatus, HostStatus, OrgUsage, PeerHeartbeat, RegionDigest},
+    fleet::peer::{FleetPeer, ZoneView},
+    message::{CopyStatus, HostStatus, OrgUsage, PeerHeartbeat, ZoneDigest},
     registry::HostEntry,
 };
-use fighall_core::ids::{BootTime, HostId, Incarnation, OrgId, RegionId, Version};
+use fighall_core::ids::{
+    BootTime, HostId, Incarnation, OrgId, RegionId, ServiceId, Version, ZoneId,
+};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-/// Time without a heartbeat after which a host of the own region counts as dead: four heartbeats, and well
+/// Time without a heartbeat after which a host of the own zone counts as dead: four heartbeats, and well
 /// below the time within which the directory has to drop it.
 pub const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1_700);
-/// Time without a heartbeat after which a host of another region counts as dead: it covers the time that
-/// the region's hosts take to detect the failure of their relay and to replace it.
+/// Time without a heartbeat after which a host of another zone counts as dead: it covers the time that the
+/// zone's hosts take to detect the failure of their relay and to replace it.
 pub const REMOTE_LIVENESS_TIMEOUT: Duration = Duration::from_millis(3_500);
-/// Time without a digest of a region's relay after which digests of another relay of the region are
-/// accepted.
+/// Time without a digest of a zone's relay after which digests of another relay of the zone are accepted.
 const RELAY_LIVENESS_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Requests of each organisation that a sender admitted since its last message.
 pub type Admissions = Vec<(OrgId, u64)>;
 
-/// `FleetTable` holds the other registered hosts and the latest digest of each other region.
+/// `FleetTable` holds the other registered hosts and the latest digest of each other availability zone.
 #[derive(Debug)]
 pub struct FleetTable {
     region: RegionId,
+    zone: ZoneId,
     incarnation: Incarnation,
     peers: BTreeMap<HostId, FleetPeer>,
     // Incarnation of each host that unregistered last.
     departed: BTreeMap<HostId, Incarnation>,
-    regions: BTreeMap<RegionId, RegionView>,
+    zones: BTreeMap<ZoneId, ZoneView>,
     // Whether this host's calls to the store fail.
     store_failing: bool,
 }
 
 impl FleetTable {
-    /// Creates an empty table for the host in `region` that runs as `incarnation`.
-    pub fn new(region: &str, incarnation: Incarnation) -> Self {
+    /// Creates an empty table for the host in `zone` of `region` that runs as `incarnation`.
+    pub fn new(region: &str, zone: &str, incarnation: Incarnation) -> Self {
         Self {
             region: region.to_owned(),
+            zone: zone.to_owned(),
             incarnation,
             peers: BTreeMap::new(),
             departed: BTreeMap::new(),
-            regions: BTreeMap::new(),
+            zones: BTreeMap::new(),
             store_failing: false,
         }
     }
@@ -63,7 +67,7 @@
         if self.departed.get(&entry.host) == Some(&entry.incarnation) {
             return;
         }
-        let liveness_timeout = if entry.region == self.region {
+        let liveness_timeout = if entry.zone == self.zone {
             LIVENESS_TIMEOUT
         } else {
             REMOTE_LIVENESS_TIMEOUT
@@ -105,8 +109,8 @@
             .retain(|_, peer| !peer.unlisted || peer.is_live(now));
     }
 
-    /// Applies a heartbeat of a host of the own region. Returns the admissions since its last heartbeat;
-    /// `None` for an unknown host or an outdated message.
+    /// Applies a heartbeat of a host of the own region. Returns the admissions since its last heartbeat, none
+    /// of another zone, whose digests report them; `None` for an unknown host or an outdated message.
     pub fn apply_heartbeat(
         &mut self,
         now: BootTime,
@@ -129,24 +133,27 @@
             }
         }
         let mut admitted = Vec::new();
-        for usage in &heartbeat.usages {
+        let is_local = peer.entry.zone == self.zone;
+        for usage in heartbeat.usages.iter().filter(|_| is_local) {
             admitted.push(new_admissions(&mut peer.admitted_before, usage));
         }
         peer.last_seen_at = Some(now);
         peer.ready = heartbeat.ready;
         peer.leaving = heartbeat.leaving;
+        peer.store_unreachable = heartbeat.copies.store_unreachable;
+        peer.heartbeat_at = now;
         peer.heartbeat = Some(heartbeat);
         Some(admitted)
     }
 
-    /// Applies the digest of another region. Returns the admissions since its last digest; `None` for an
+    /// Applies the digest of another availability zone. Returns the admissions since its last digest; `None` for an
     /// outdated message, or one of a second relay while digests of the first still arrive.
-    pub fn apply_digest(&mut self, now: BootTime, digest: RegionDigest) -> Option<Admissions> {
-        if digest.region == self.region {
+    pub fn apply_digest(&mut self, now: BootTime, digest: ZoneDigest) -> Option<Admissions> {
+        if digest.zone == self.zone {
             return None;
         }
         self.apply_host_statuses(now, &digest.hosts);
-        let last_view = self.regions.get(&digest.region);
+        let last_view = self.zones.get(&digest.zone);
         let same_relay = last_view.is_some_and(|last_view| {
             last_view.digest.relay == digest.relay
                 && last_view.digest.incarnation == digest.incarnation
@@ -159,8 +166,8 @@
             return None;
         }
         // The previous relay reported part of what a new one counted before its first accepted digest.
-        let previous = self.regions.remove(&digest.region).filter(|_| same_relay);
-        let mut view = RegionView {
+        let previous = self.zones.remove(&digest.zone).filter(|_| same_relay);
+        let mut view = ZoneView {
             admitted_before: BTreeMap::new(),
             demands: BTreeMap::new(),
             received_at: now,
@@ -176,7 +183,7 @@
                 .insert(usage.organisation.clone(), usage.demand);
             admitted.push(new_admissions(&mut view.admitted_before, usage));
         }
-        self.regions.insert(view.digest.region.clone(), view);
+        self.zones.insert(view.digest.zone.clone(), view);
         Some(admitted)
     }
 
@@ -196,11 +203,12 @@
                 peer.last_seen_at = Some(last_seen_at);
                 peer.ready = status.ready;
                 peer.leaving = status.leaving;
+                peer.store_unreachable = status.store_unreachable;
             }
         }
     }
 
-    /// Lists the state of the other live hosts of the own region, for a digest.
+    /// Lists the state of the other live hosts of the own zone, for a digest.
     pub fn host_statuses(&self, now: BootTime) -> Vec<HostStatus> {
         let mut statuses = Vec::new();
         for peer in self.live_local_peers(now) {
@@ -211,6 +219,7 @@
                 age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
                 ready: peer.ready,
                 leaving: peer.leaving,
+                store_unreachable: peer.store_unreachable,
             });
         }
         statuses
@@ -221,20 +230,24 @@
         self.peers.values()
     }
 
-    /// Lists the other hosts of the own region.
+    /// Lists the other hosts of the own zone.
     pub fn local_peers(&self) -> impl Iterator<Item = &FleetPeer> {
+        self.peers().filter(|peer| peer.entry.zone == self.zone)
+    }
+
+    /// Lists the other hosts of the own region, those of the own zone included.
+    pub fn region_peers(&self) -> impl Iterator<Item = &FleetPeer> {
         self.peers().filter(|peer| peer.entry.region == self.region)
     }
 
-    /// Lists the other live hosts of the own region.
-    pub fn live_local_peers(&self, now: BootTime) -> impl Iterator<Item = &FleetPeer> {
-        self.local_peers().filter(move |peer| peer.is_live(now))
+    /// Lists the other live hosts of the own region, those of the own zone included.
+    pub fn live_region_peers(&self, now: BootTime) -> impl Iterator<Item = &FleetPeer> {
+        self.region_peers().filter(move |peer| peer.is_live(now))
     }
 
-    // Lists the hosts of the own region that may be relays and store watchers. Whether they serve callers
-    // does not matter: hosts that start together would otherwise all pick themselves until they do.
-    fn remaining_local_peers(&self, now: BootTime) -> impl Iterator<Item = &FleetPeer> {
-        self.live_local_peers(now).filter(|peer| !peer.leaving)
+    /// Lists the other live hosts of the own zone.
+    pub fn live_local_peers(&self, now: BootTime) -> impl Iterator<Item = &FleetPeer> {
+        self.local_peers().filter(move |peer| peer.is_live(now))
     }
 
     /// Gets the number of registered hosts, including this one.
@@ -266,7 +279,7 @@
         demands
     }
 
-    /// Sums the demand of each organisation at the other live hosts of the own region.
+    /// Sums the demand of each organisation at the other live hosts of the own zone.
     pub fn local_org_demands(&self, now: BootTime) -> BTreeMap<OrgId, f64> {
         let mut demands: BTreeMap<OrgId, f64> = BTreeMap::new();
         for peer in self.live_local_peers(now) {
@@ -282,36 +295,41 @@
         demands
     }
 
-    /// Lists the requests in flight for a service at each other host of the own region that serves it;
-    /// `None` for a host without a measurement.
-    pub fn local_demands(&self, now: BootTime, service: &str) -> impl Iterator<Item = Option<f64>> {
-        let heartbeats = self
-            .live_local_peers(now)
-            .filter_map(|peer| peer.heartbeat.as_ref());
-        let demands = heartbeats.filter_map(move |heartbeat| heartbeat.demands.get(service));
-        demands.map(|demand| demand.map(f64::from))
+    /// Lists the requests in flight by service at each other host of the own zone; `None` for a host without a
+    /// measurement.
+    pub fn local_demands(&self, now: BootTime) -> impl Iterator<Item = (&ServiceId, Option<f64>)> {
+        let peers = self.live_local_peers(now);
+        let heartbeats = peers.filter_map(|peer| peer.heartbeat.as_ref());
+        let demands = heartbeats.flat_map(|heartbeat| &heartbeat.demands);
+        demands.map(|(service, demand)| (service, demand.map(f64::from)))
     }
 
-    /// Gets the requests in flight for a service in each other region whose digest reports them.
-    pub fn remote_demands(&self, now: BootTime, service: &str) -> BTreeMap<RegionId, f64> {
-        let mut demands = BTreeMap::new();
+    /// Lists the requests in flight for a service in each other zone that serves it, by region; `None` for a
+    /// zone without a measurement.
+    pub fn zone_demands(
+        &self,
+        now: BootTime,
+        service: &str,
+    ) -> BTreeMap<RegionId, Vec<Option<f64>>> {
+        let mut demands: BTreeMap<RegionId, Vec<Option<f64>>> = BTreeMap::new();
         for view in self.live_views(now) {
             if let Some(demand) = view.digest.demands.get(service) {
-                demands.insert(view.digest.region.clone(), f64::from(*demand));
+                let zones = demands.entry(view.digest.region.clone()).or_default();
+                zones.push(demand.map(f64::from));
             }
         }
         demands
     }
 
-    fn live_views(&self, now: BootTime) -> impl Iterator<Item = &RegionView> {
-        self.regions.values().filter(move |view| view.is_live(now))
+    fn live_views(&self, now: BootTime) -> impl Iterator<Item = &ZoneView> {
+        self.zones.values().filter(move |view| view.is_live(now))
     }
 
     /// Gets the latest time, by this host's clock, at which another host of the region had confirmed that
     /// `version` was the latest policy in the store.
     pub fn confirmed_at(&self, now: BootTime, version: Version) -> Option<BootTime> {
         let mut latest = None;
-        for peer in self.live_local_peers(now) {
+        for peer in self.live_region_peers(now) {
             let Some(heartbeat) = &peer.heartbeat else {
                 continue;
             };
@@ -341,18 +359,15 @@
 
     /// Lists the versions of the store's objects that other hosts report.
     pub fn copies(&self, now: BootTime) -> impl Iterator<Item = &CopyStatus> {
-        let local = self.live_local_peers(now);
-        let local = local.filter_map(|peer| Some(&peer.heartbeat.as_ref()?.copies));
-        let remote = self.live_views(now).map(|view| &view.digest.copies);
-        local.chain(remote)
+        let peers = self.live_region_peers(now);
+        let peers = peers.filter_map(|peer| Some(&peer.heartbeat.as_ref()?.copies));
+        let zones = self.live_views(now).map(|view| &view.digest.copies);
+        peers.chain(zones)
     }
 
-    /// Lists the names and the heartbeat addresses of the other hosts of the own region.
-    pub fn local_peer_addresses(&self) -> Vec<(HostId, SocketAddr)> {
-        let local = self.local_peers();
-        local
-            .map(|peer| (peer.entry.host.clone(), peer.entry.peers))
-            .collect()
+    /// Lists the addresses for messages of the other hosts of the own zone.
+    pub fn local_addresses(&self) -> Vec<SocketAddr> {
+        self.local_peers().map(|peer| peer.entry.peers).collect()
     }
 }
 
--- a/crates/gateway/src/fleet/holders.rs
+++ b/crates/gateway/src/fleet/holders.rs
@@ -60,7 +60,7 @@
             .any(|peer| hosts.contains(&peer.entry.host) && peer.is_live(now))
     }
 
-    /// Sums the claims of the other holders of the own region.
+    /// Sums the claims of the other holders of the own zone.
     pub fn local_limit_claims(
         &self,
         now: BootTime,
@@ -76,7 +76,7 @@
         sum
     }
 
-    /// Sums the claims of the holders of all other regions.
+    /// Sums the claims of the holders of all other zones.
     pub fn remote_limit_claims(
         &self,
         now: BootTime,
@@ -85,13 +85,13 @@
     ) -> HolderClaims {
         let mut holder_counts: BTreeMap<&str, u32> = BTreeMap::new();
         for peer in self.peers() {
-            if peer.entry.region != self.region && holders.contains(&peer.entry.host) {
-                *holder_counts.entry(&peer.entry.region).or_default() += 1;
+            if peer.entry.zone != self.zone && holders.contains(&peer.entry.host) {
+                *holder_counts.entry(&peer.entry.zone).or_default() += 1;
             }
         }
         let mut sum = HolderClaims::default();
-        for (region, holder_count) in holder_counts {
-            let view = self.regions.get(region);
+        for (zone, holder_count) in holder_counts {
+            let view = self.zones.get(zone);
             let claim = view.and_then(|view| limited.find(&view.digest.limits));
             sum.add(&match claim {
                 Some(claim) if view.is_some_and(|view| view.is_live(now)) => from_claim(claim),
--- a/crates/gateway/src/fleet/peer.rs
+++ b/crates/gateway/src/fleet/peer.rs
@@ -1,8 +1,8 @@
-//! State of one other host and of one other region, as last reported to this host.
+//! State of one other host and of one other availability zone, as last reported to this host.
 
-use super::REMOTE_LIVENESS_TIMEOUT;
+use super::{LIVENESS_TIMEOUT, REMOTE_LIVENESS_TIMEOUT};
 use crate::{
-    message::{PeerHeartbeat, RegionDigest},
+    message::{PeerHeartbeat, ZoneDigest},
     registry::HostEntry,
 };
 use fighall_core::ids::{BootTime, OrgId};
@@ -13,15 +13,19 @@
 pub struct FleetPeer {
     /// Entry in the store.
     pub entry: HostEntry,
-    /// Time at which its last heartbeat was received, by this host or by its region's relay; none before
-    /// the first one.
+    /// Time at which its last heartbeat was received, by this host or by its zone's relay; none before the
+    /// first one.
     pub last_seen_at: Option<BootTime>,
     /// Whether it reports that it serves callers.
     pub ready: bool,
     /// Whether it reports that it is stopping.
     pub leaving: bool,
-    /// Its latest heartbeat; only hosts of the own region send them.
+    /// Whether it reports that its calls to the store fail.
+    pub store_unreachable: bool,
+    /// Its latest heartbeat. Hosts of the own zone and the store watchers of the own region send them.
     pub heartbeat: Option<PeerHeartbeat>,
+    /// Time at which that heartbeat was received.
+    pub heartbeat_at: BootTime,
     // Whether its entry was missing from the latest complete list.
     pub(super) unlisted: bool,
     pub(super) liveness_timeout: Duration,
@@ -35,7 +39,9 @@
             last_seen_at: None,
             ready: false,
             leaving: false,
+            store_unreachable: false,
             heartbeat: None,
+            heartbeat_at: Duration::ZERO,
             unlisted: false,
             liveness_timeout,
             admitted_before: BTreeMap::new(),
@@ -48,23 +54,28 @@
             .is_some_and(|last_seen_at| now.saturating_sub(last_seen_at) < self.liveness_timeout)
     }
 
+    /// Tells whether a heartbeat came from the host itself lately.
+    pub fn sends_heartbeats(&self, now: BootTime) -> bool {
+        self.heartbeat.is_some() && now.saturating_sub(self.heartbeat_at) < LIVENESS_TIMEOUT
+    }
+
     /// Tells whether the directory may send callers to the host.
     pub fn accepts_callers(&self, now: BootTime) -> bool {
         self.is_live(now) && self.ready && !self.leaving
     }
 }
 
-// Latest state of another region, from its digests.
+// Latest state of another availability zone, from its digests.
 #[derive(Debug)]
-pub(super) struct RegionView {
-    pub(super) digest: RegionDigest,
+pub(super) struct ZoneView {
+    pub(super) digest: ZoneDigest,
     pub(super) received_at: BootTime,
     pub(super) admitted_before: BTreeMap<OrgId, u64>,
     pub(super) demands: BTreeMap<OrgId, f32>,
 }
 
-impl RegionView {
-    // Tells whether a digest of the region was received within the liveness timeout.
+impl ZoneView {
+    // Tells whether a digest of the zone was received within the liveness timeout.
     pub(super) fn is_live(&self, now: BootTime) -> bool {
         now.saturating_sub(self.received_at) < REMOTE_LIVENESS_TIMEOUT
     }
--- a/crates/gateway/src/fleet/relays.rs
+++ b/crates/gateway/src/fleet/relays.rs
@@ -1,61 +1,104 @@
-//! Selection of the hosts of a region that exchange digests with other regions, and of those that watch
-//! the store on behalf of the others.
+//! Selection of the hosts that send, receive and forward messages between availability zones, and of those
+//! that watch the store on behalf of their region.
 
 use super::{FleetTable, peer::FleetPeer};
 use fighall_core::{
-    ids::{BootTime, HostId, RegionId},
-    rendezvous,
+    ids::{BootTime, HostId, ZoneId},
+    rendezvous, value,
 };
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 /// Number of hosts of a region that watch the store on behalf of the others.
 const STORE_WATCHERS: usize = 2;
+/// Number of hosts of a zone that receive messages of another zone, in turn, so that the loss of one costs
+/// only every second message.
+const ZONE_RECEIVERS: usize = 2;
 /// Rendezvous hashing key by which relays and store watchers are picked.
 pub const RELAY_KEY: &str = "relay";
 
+value! {
+    /// `HeartbeatRecipient` is a host that heartbeats are sent to.
+    pub struct HeartbeatRecipient {
+        /// Name of the host.
+        pub host: HostId,
+        /// Its address for messages of other hosts.
+        pub address: SocketAddr,
+        /// Whether it is in the own availability zone.
+        pub is_local: bool,
+    }
+}
+
 impl FleetTable {
-    /// Tells whether `own_host` is the relay of its region: the first by hash of the hosts that are
-    /// live and not leaving. The state of the store is not considered, because each change of the relay loses the
+    // Lists the hosts of the own region that may be relays and store watchers. Whether they serve callers
+    // does not matter: hosts that start together would otherwise all pick themselves until they do.
+    fn remaining_peers(&self, now: BootTime) -> impl Iterator<Item = &FleetPeer> {
+        self.live_region_peers(now).filter(|peer| !peer.leaving)
+    }
+
+    /// Tells whether `own_host` is the relay of its zone: the first by hash of the hosts that are live and not
+    /// leaving. The state of the store is not considered, because each change of the relay loses the
     /// admissions that are in transit.
     pub fn is_relay(&self, now: BootTime, own_host: &str) -> bool {
-        let remaining = self.remaining_local_peers(now);
-        let mut hosts: Vec<_> = remaining.map(|peer| peer.entry.host.as_str()).collect();
+        let local = self
+            .remaining_peers(now)
+            .filter(|peer| peer.entry.zone == self.zone);
+        let mut hosts: Vec<_> = local.map(|peer| peer.entry.host.as_str()).collect();
         hosts.push(own_host);
         let picked = rendezvous::top(RELAY_KEY, &hosts, 1, |host| *host);
         picked.first().is_some_and(|picked| **picked == own_host)
     }
 
     /// Lists the hosts of the region that watch the store, confirm the policy and forward changes to the
-    /// others. There are two, so that the loss of one leaves no gap. Hosts whose calls to the store fail
-    /// are picked only if the calls of all hosts fail.
+    /// others. There are two, in different zones if possible, so that the loss of one host or zone leaves no
+    /// gap. Hosts whose calls to the store fail are picked only if the calls of all hosts fail.
     pub fn store_watchers(&self, now: BootTime, own_host: &str) -> Vec<HostId> {
         let mut available = Vec::new();
         let mut failing = Vec::new();
-        for peer in self.remaining_local_peers(now) {
-            let is_failing = peer
-                .heartbeat
-                .as_ref()
-                .is_some_and(|heartbeat| heartbeat.copies.store_unreachable);
-            let hosts = if is_failing {
-                &mut failing
+        let own = (own_host, self.zone.as_str(), self.store_failing);
+        let peers = self.remaining_peers(now).map(|peer| {
+            let entry = &peer.entry;
+            (
+                entry.host.as_str(),
+                entry.zone.as_str(),
+                peer.store_unreachable,
+            )
+        });
+        for (host, zone, is_failing) in peers.chain([own]) {
+            if is_failing {
+                failing.push((host, zone));
             } else {
-                &mut available
-            };
-            hosts.push(peer.entry.host.clone());
+                available.push((host, zone));
+            }
         }
-        let hosts = if self.store_failing {
-            &mut failing
-        } else {
-            &mut available
-        };
-        hosts.push(own_host.to_owned());
         let hosts = if available.is_empty() {
             failing
         } else {
             available
         };
-        let picked = rendezvous::top(RELAY_KEY, &hosts, STORE_WATCHERS, String::as_str);
-        picked.into_iter().cloned().collect()
+        pick_store_watchers(&hosts)
+    }
+
+    /// Lists the recipients of this host's heartbeats: the hosts of its zone, the store watchers of the region
+    /// and the hosts from which heartbeats arrive; if this host is a store watcher, all hosts of the region.
+    pub fn heartbeat_recipients(&self, now: BootTime, own_host: &str) -> Vec<HeartbeatRecipient> {
+        let store_watchers = self.store_watchers(now, own_host);
+        let is_store_watcher = store_watchers.iter().any(|host| host == own_host);
+        let mut recipients = Vec::new();
+        for peer in self.region_peers() {
+            let is_local = peer.entry.zone == self.zone;
+            let is_recipient = is_local
+                || is_store_watcher
+                || store_watchers.contains(&peer.entry.host)
+                || peer.sends_heartbeats(now);
+            if is_recipient {
+                recipients.push(HeartbeatRecipient {
+                    host: peer.entry.host.clone(),
+                    address: peer.entry.peers,
+                    is_local,
+                });
+            }
+        }
+        recipients
     }
 
     /// Sets whether this host's calls to the store fail.
@@ -69,29 +112,43 @@
     pub fn has_live_store_watcher(&self, now: BootTime, own_host: &str, bound: Duration) -> bool {
         let store_watchers = self.store_watchers(now, own_host);
         let mut watchers = self
-            .live_local_peers(now)
+            .live_region_peers(now)
             .filter(|peer| store_watchers.contains(&peer.entry.host));
         watchers.any(|peer| {
             let heartbeat = peer.heartbeat.as_ref();
             let store_age = heartbeat.and_then(|heartbeat| heartbeat.copies.store_age_us);
-            let last_seen_age = now.saturating_sub(peer.last_seen_at.unwrap_or_default());
+            let heartbeat_age = now.saturating_sub(peer.heartbeat_at);
             store_age
-                .is_some_and(|store_age| Duration::from_micros(store_age) + last_seen_age < bound)
+                .is_some_and(|store_age| Duration::from_micros(store_age) + heartbeat_age < bound)
         })
     }
 
-    /// Lists, for each other region, the addresses of the two hosts that receive digests and forward them
-    /// in their region: the first by hash of the hosts that serve callers, or of all if none does.
-    pub fn remote_relays(&self, now: BootTime) -> BTreeMap<RegionId, Vec<SocketAddr>> {
-        let mut region_peers: BTreeMap<RegionId, Vec<&FleetPeer>> = BTreeMap::new();
-        for peer in self.peers() {
-            if peer.entry.region != self.region {
-                let hosts = region_peers.entry(peer.entry.region.clone()).or_default();
+    /// Lists, for each other zone, the addresses of the two hosts that receive messages of the own zone and
+    /// forward them in theirs: the first by hash of the hosts that serve callers, or of all if none does. The
+    /// own zone is the key of the hash, so that a zone's hosts share the forwarding for all others.
+    pub fn zone_receivers(&self, now: BootTime) -> BTreeMap<ZoneId, Vec<SocketAddr>> {
+        self.receivers(now, |_| true)
+    }
+
+    /// Lists the same for the other zones of the own region.
+    pub fn region_receivers(&self, now: BootTime) -> BTreeMap<ZoneId, Vec<SocketAddr>> {
+        self.receivers(now, |peer| peer.entry.region == self.region)
+    }
+
+    fn receivers(
+        &self,
+        now: BootTime,
+        is_included: impl Fn(&FleetPeer) -> bool,
+    ) -> BTreeMap<ZoneId, Vec<SocketAddr>> {
+        let mut zone_peers: BTreeMap<ZoneId, Vec<&FleetPeer>> = BTreeMap::new();
+        for peer in self.peers().filter(|peer| is_included(peer)) {
+            if peer.entry.zone != self.zone {
+                let hosts = zone_peers.entry(peer.entry.zone.clone()).or_default();
                 hosts.push(peer);
             }
         }
-        let mut relays = BTreeMap::new();
-        for (region, hosts) in region_peers {
+        let mut receivers = BTreeMap::new();
+        for (zone, hosts) in zone_peers {
             let serving: Vec<_> = hosts
                 .iter()
                 .filter(|peer| peer.accepts_callers(now))
@@ -101,11 +158,27 @@
             } else {
                 serving
             };
-            let picked =
-                rendezvous::top(RELAY_KEY, &candidates, 2, |peer| peer.entry.host.as_str());
+            let picked = rendezvous::top(&self.zone, &candidates, ZONE_RECEIVERS, |peer| {
+                peer.entry.host.as_str()
+            });
             let addresses = picked.into_iter().map(|peer| peer.entry.peers);
-            relays.insert(region, addresses.collect());
+            receivers.insert(zone, addresses.collect());
         }
-        relays
+        receivers
     }
 }
+
+// Picks the first host by hash, and the first one of another zone or, without any, the second one.
+fn pick_store_watchers(hosts: &[(&str, &str)]) -> Vec<HostId> {
+    let ranked = rendezvous::top(RELAY_KEY, hosts, hosts.len(), |(host, _)| host);
+    let mut picked: Vec<&(&str, &str)> = ranked.first().copied().into_iter().collect();
+    let first_zone = picked.first().map(|(_, zone)| *zone);
+    let elsewhere = ranked.iter().find(|(_, zone)| Some(*zone) != first_zone);
+    let second = elsewhere.or_else(|| ranked.get(1)).copied();
+    picked.extend(second);
+    picked.truncate(STORE_WATCHERS);
+    picked
+        .into_iter()
+        .map(|(host, _)| (*host).to_owned())
+        .collect()
+}
--- a/crates/gateway/src/follow/forwarding.rs
+++ b/crates/gateway/src/follow/forwarding.rs
@@ -143,6 +143,7 @@
             return;
         }
         self.outbox.borrow_mut().push(KindChanges {
+            to_forward: false,
             kind,
             // The other store watcher may already have forwarded some of these changes.
             previous: self
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -230,15 +230,19 @@
                 return false;
             };
             let unreported = bucket.admitted - bucket.reported;
-            let threshold = limit.rate / f64::from(self.host_count) * UNREPORTED_TIME.as_secs_f64();
-            let exceeds_threshold =
-                f64::from(u32::try_from(unreported).unwrap_or(u32::MAX)) >= threshold;
-            exceeds_threshold
-                && unreported >= MIN_UNREPORTED
-                && bucket.tokens > limit.burst * LOW_WATERMARK
+            self.is_report_due(&limit, unreported, 1) && bucket.tokens > limit.burst * LOW_WATERMARK
         })
     }
 
+    /// Tells whether `unreported` admissions of `hosts` hosts are so many that other hosts have to know of
+    /// them at once.
+    pub fn is_report_due(&self, limit: &OrgLimit, unreported: u64, hosts: usize) -> bool {
+        let share = count_to_f64(hosts) / f64::from(self.host_count);
+        let threshold = limit.rate * share * UNREPORTED_TIME.as_secs_f64();
+        unreported >= MIN_UNREPORTED
+            && f64::from(u32::try_from(unreported).unwrap_or(u32::MAX)) >= threshold
+    }
+
     /// Marks all admissions so far as reported to peers.
     pub fn mark_reported(&mut self) {
         for bucket in self.buckets.values_mut() {
@@ -292,3 +296,7 @@
         self.sample_started_at = now;
     }
 }
+
+fn count_to_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -2,7 +2,7 @@
 //! these messages make up a large part of all traffic other than callers' requests.
 
 use fighall_core::{
-    ids::{HostId, Incarnation, OrgId, RegionId, ServiceId, TargetId, Version},
+    ids::{HostId, Incarnation, OrgId, RegionId, ServiceId, TargetId, Version, ZoneId},
     message, tag,
 };
 use fighall_store::object::ObjectChange;
@@ -11,13 +11,13 @@
 message! {
     /// `PeerMessage` is the content of one datagram.
     pub enum PeerMessage {
-        /// Heartbeat, between hosts of a region.
+        /// Heartbeat, between hosts of an availability zone, and with the store watchers of a region.
         #[serde(rename = "b")]
         Heartbeat(PeerHeartbeat),
-        /// Digest of a region, sent to other regions and forwarded within them.
+        /// Digest of an availability zone, sent to the others and forwarded within them.
         #[serde(rename = "d")]
-        Digest(RegionDigest),
-        /// Store changes, from a store watcher to the other hosts of its region.
+        Digest(ZoneDigest),
+        /// Store changes, from a store watcher to its region.
         #[serde(rename = "c")]
         Changes(KindChanges),
     }
@@ -52,6 +52,9 @@
         /// Changes in the order in which the store returned them.
         #[serde(rename = "c")]
         pub changes: Vec<ObjectChange>,
+        /// Whether the receiver forwards them to the other hosts of its availability zone.
+        #[serde(rename = "f", default)]
+        pub to_forward: bool,
     }
 }
 
@@ -102,7 +105,7 @@
 }
 
 message! {
-    /// `OrgUsage` is an organisation's usage of its rate at one host or in one region.
+    /// `OrgUsage` is an organisation's usage of its rate at one host or in one availability zone.
     pub struct OrgUsage {
         /// Name of the organisation.
         #[serde(rename = "o")]
@@ -117,7 +120,7 @@
 }
 
 message! {
-    /// `LimitClaim` is what a host, or a region, knows and claims of the rate limit that a target names.
+    /// `LimitClaim` is what a host, or an availability zone, knows and claims of the rate limit that a target names.
     pub struct LimitClaim {
         /// Name of the target.
         #[serde(rename = "n")]
@@ -147,7 +150,9 @@
 }
 
 message! {
-    /// `PeerHeartbeat` is sent by each host to every other host of its region several times a second.
+    /// `PeerHeartbeat` is sent by each host several times a second to every other host of its availability zone
+    /// and to the store watchers of its region, and by these to every host of their region. What digests
+    /// report (usages, demands, limits) is left out towards other availability zones.
     pub struct PeerHeartbeat {
         /// Name of the sender.
         #[serde(rename = "h")]
@@ -200,15 +205,21 @@
         /// Whether it is stopping.
         #[serde(rename = "l")]
         pub leaving: bool,
+        /// Whether a store call of it failed lately and none has succeeded since.
+        #[serde(rename = "w", default)]
+        pub store_unreachable: bool,
     }
 }
 
 message! {
-    /// `RegionDigest` summarises a region for the others; the region's relay sends it.
-    pub struct RegionDigest {
-        /// Summarised region.
+    /// `ZoneDigest` summarises an availability zone for the others; the zone's relay sends it.
+    pub struct ZoneDigest {
+        /// Region of the zone.
         #[serde(rename = "g")]
         pub region: RegionId,
+        /// Summarised availability zone.
+        #[serde(rename = "z")]
+        pub zone: ZoneId,
         /// Name of the relay.
         #[serde(rename = "h")]
         pub relay: HostId,
@@ -218,23 +229,23 @@
         /// Time of sending, by the relay's clock, in microseconds.
         #[serde(rename = "t")]
         pub sent_us: u64,
-        /// Whether a host of the receiving region has forwarded it.
+        /// Whether a host of the receiving zone has forwarded it.
         #[serde(rename = "f")]
         pub forwarded: bool,
-        /// Live hosts of the region, including the relay.
+        /// Live hosts of the zone, including the relay.
         #[serde(rename = "n")]
         pub hosts: Vec<HostStatus>,
         /// State of the relay's copies.
         #[serde(rename = "c")]
         pub copies: CopyStatus,
-        /// Usage of the organisations whose admissions in the region changed lately, counted since the
-        /// relay's start.
+        /// Usage of the organisations whose admissions in the zone changed lately, counted since the relay's
+        /// start.
         #[serde(rename = "u")]
         pub usages: Vec<OrgUsage>,
-        /// Average number of requests in flight from the region's callers, by service.
+        /// Average number of requests in flight at the zone's hosts, by service; none if it is not measured yet.
         #[serde(rename = "d")]
-        pub demands: BTreeMap<ServiceId, f32>,
-        /// Rate limits that targets name, and the claims of the region's hosts on them.
+        pub demands: BTreeMap<ServiceId, Option<f32>>,
+        /// Rate limits that targets name, and the claims of the zone's hosts on them.
         #[serde(rename = "m", default)]
         pub limits: Vec<LimitClaim>,
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,5 +1,5 @@
-//! Messages between hosts, sent as UDP datagrams: heartbeats and forwarded store changes within a region,
-//! digests between regions.
+//! Messages between hosts, sent as UDP datagrams: heartbeats within an availability zone and with the store
+//! watchers of the region, forwarded store changes within a region, digests between zones.
 //!
 //! Datagrams fit better than connections here: each heartbeat or digest supersedes the one before, so the
 //! next one makes up for a loss.
@@ -8,10 +8,10 @@
 
 use crate::{
     errors::{Error, Result},
-    fleet::Admissions,
+    fleet::{Admissions, relays::HeartbeatRecipient},
     follow::StoreFollower,
     limit::OrgLimit,
-    message::{KindChanges, PeerHeartbeat, PeerMessage, RegionDigest},
+    message::{KindChanges, PeerHeartbeat, PeerMessage, ZoneDigest},
     names,
     placement_log::log_limit_changes,
     policy_copy::PolicyCopy,
@@ -19,9 +19,10 @@
     settings::GatewaySettings,
 };
 use compio::{BufResult, net::UdpSocket};
+use content::HeartbeatReport;
 use fighall_core::{
     clock::boot_time,
-    ids::{BootTime, HostId, Incarnation, OrgId},
+    ids::{BootTime, HostId, Incarnation, OrgId, ZoneId},
 };
 use fighall_kernel::kernel::MicroKernel;
 use slog::{Logger, debug, info, warn};
@@ -64,11 +65,14 @@
     socket: UdpSocket,
     received: RefCell<BTreeMap<HostId, ReceivedHeartbeat>>,
     reported_to_hosts: RefCell<ReportedAdmissions>,
-    reported_to_regions: RefCell<ReportedAdmissions>,
-    // Admissions that the other hosts of the region have reported since this host's start.
+    reported_to_zones: RefCell<ReportedAdmissions>,
+    // Admissions that the other hosts of the zone have reported since this host's start.
     peer_admissions: RefCell<BTreeMap<OrgId, u64>>,
+    // Of these, the ones that no digest of this host has reported.
+    undigested: RefCell<BTreeMap<OrgId, u64>>,
     sent_at: Cell<BootTime>,
-    digests_sent: Cell<u64>,
+    // Messages sent to other zones, which their receivers get in turn.
+    zone_messages: Cell<u64>,
     is_relay: Cell<bool>,
 }
 
@@ -100,10 +104,11 @@
             socket,
             received: RefCell::new(BTreeMap::new()),
             reported_to_hosts: RefCell::new(BTreeMap::new()),
-            reported_to_regions: RefCell::new(BTreeMap::new()),
+            reported_to_zones: RefCell::new(BTreeMap::new()),
             peer_admissions: RefCell::new(BTreeMap::new()),
+            undigested: RefCell::new(BTreeMap::new()),
             sent_at: Cell::new(Duration::ZERO),
-            digests_sent: Cell::new(0),
+            zone_messages: Cell::new(0),
             is_relay: Cell::new(false),
         })
     }
@@ -116,8 +121,12 @@
             }
             let now = boot_time();
             let is_due = now.saturating_sub(self.sent_at.get()) >= HEARTBEAT_INTERVAL;
-            if is_due || self.has_urgent_report() {
+            if is_due {
                 self.send_heartbeats().await;
+            } else if self.has_urgent_report() {
+                self.send_reports(now, |recipient| recipient.is_local).await;
+            } else if self.is_relay.get() && self.has_urgent_digest() {
+                self.send_digest(now).await;
             }
             compio::time::sleep(SEND_CHECK_INTERVAL).await;
         }
@@ -126,59 +135,79 @@
     // Changes that do not fit into a datagram are not sent: heartbeats show the receivers that some are
     // missing, and they query the store themselves.
     async fn forward_changes(&self, changes: KindChanges) {
-        let addresses = self.router.borrow().fleet.local_peer_addresses();
-        let message = PeerMessage::Changes(changes);
-        for (_, address) in addresses {
-            self.send_to(address, &message).await;
-        }
+        let receivers = self.router.borrow().fleet.region_receivers(boot_time());
+        let remote = PeerMessage::Changes(KindChanges {
+            to_forward: true,
+            ..changes.clone()
+        });
+        self.send_to_zones(&receivers, &remote).await;
+        self.send_to_local(&PeerMessage::Changes(changes)).await;
     }
 
-    /// Sends a heartbeat to every other host of the region and, if this host is the relay, a digest to each
-    /// other region.
+    /// Sends a heartbeat to each recipient and, if this host is the relay, a digest to each other zone.
     pub async fn send_heartbeats(&self) {
         let now = boot_time();
         self.sent_at.set(now);
+        self.send_reports(now, |_| true).await;
+    }
+
+    async fn send_reports(&self, now: BootTime, is_included: fn(&HeartbeatRecipient) -> bool) {
         self.router.borrow_mut().limiter.mark_reported();
-        let usages = self.own_usages(now);
-        let limits = self.router.borrow().own_limit_claims(now);
-        let addresses = self.router.borrow().fleet.local_peer_addresses();
-        for (host, address) in addresses {
-            let heartbeat = self.new_heartbeat(&host, usages.clone(), limits.clone());
-            self.send_to(address, &PeerMessage::Heartbeat(heartbeat))
+        let report = self.new_report(now);
+        let host = &self.settings.host;
+        let recipients = self.router.borrow().fleet.heartbeat_recipients(now, host);
+        for recipient in recipients.iter().filter(|recipient| is_included(recipient)) {
+            let report = if recipient.is_local {
+                report.clone()
+            } else {
+                HeartbeatReport::default()
+            };
+            let heartbeat = self.new_heartbeat(&recipient.host, report);
+            self.send_to(recipient.address, &PeerMessage::Heartbeat(heartbeat))
                 .await;
         }
-        let is_relay = self
-            .router
-            .borrow()
-            .fleet
-            .is_relay(now, &self.settings.host);
+        let is_relay = self.router.borrow().fleet.is_relay(now, host);
         if is_relay != self.is_relay.replace(is_relay) {
-            info!(self.logger, "relay of the region"; "own" => is_relay);
+            info!(self.logger, "relay of the zone"; "own" => is_relay);
         }
         if is_relay {
             self.send_digest(now).await;
         }
     }
 
-    // Digests go alternately to the first and second relay of a region, so that the loss of one costs only
-    // every second digest.
     async fn send_digest(&self, now: BootTime) {
-        let number = self.digests_sent.get();
-        self.digests_sent.set(number + 1);
-        let relays = self.router.borrow().fleet.remote_relays(now);
-        if relays.is_empty() {
-            return;
+        self.undigested.borrow_mut().clear();
+        let receivers = self.router.borrow().fleet.zone_receivers(now);
+        if !receivers.is_empty() {
+            let digest = PeerMessage::Digest(self.new_digest(now));
+            self.send_to_zones(&receivers, &digest).await;
         }
-        let message = PeerMessage::Digest(self.new_digest(now));
-        for addresses in relays.values() {
+    }
+
+    // Sends a message to one of the receivers of each zone; the next message goes to the next receiver.
+    async fn send_to_zones(
+        &self,
+        receivers: &BTreeMap<ZoneId, Vec<SocketAddr>>,
+        message: &PeerMessage,
+    ) {
+        let number = self.zone_messages.get();
+        self.zone_messages.set(number + 1);
+        for addresses in receivers.values() {
             let count = u64::try_from(addresses.len().max(1)).unwrap_or(1);
             let index = usize::try_from(number % count).unwrap_or(0);
             if let Some(address) = addresses.get(index) {
-                self.send_to(*address, &message).await;
+                self.send_to(*address, message).await;
             }
         }
     }
 
+    async fn send_to_local(&self, message: &PeerMessage) {
+        let addresses = self.router.borrow().fleet.local_addresses();
+        for address in addresses {
+            self.send_to(address, message).await;
+        }
+    }
+
     async fn send_to(&self, address: SocketAddr, message: &PeerMessage) {
         let mut datagram = Vec::new();
         if let Err(error) = ciborium::into_writer(message, &mut datagram) {
@@ -214,7 +243,7 @@
             match ciborium::from_reader(datagram) {
                 Ok(PeerMessage::Heartbeat(heartbeat)) => self.handle_heartbeat(heartbeat),
                 Ok(PeerMessage::Digest(digest)) => self.handle_digest(digest).await,
-                Ok(PeerMessage::Changes(changes)) => self.follower.apply_forwarded(changes),
+                Ok(PeerMessage::Changes(changes)) => self.handle_changes(changes).await,
                 Err(error) => {
                     warn!(self.logger, "peer message not decoded; dropped"; "error" => error.to_string());
                 }
@@ -239,7 +268,10 @@
         log_limit_changes(&self.logger, &changes, "host");
         self.note_admissions(now, &mut router, &admitted);
         let mut peer_admissions = self.peer_admissions.borrow_mut();
+        let mut undigested = self.undigested.borrow_mut();
         for (organisation, count) in admitted {
+            let unreported = undigested.entry(organisation.clone()).or_default();
+            *unreported = unreported.saturating_add(count);
             let total = peer_admissions.entry(organisation).or_default();
             *total = total.saturating_add(count);
         }
@@ -261,29 +293,33 @@
         org_limit(policy.organisations.get(organisation)?)
     }
 
-    async fn handle_digest(&self, digest: RegionDigest) {
-        let forwarded = RegionDigest {
-            forwarded: true,
-            ..digest.clone()
-        };
-        let is_direct = !digest.forwarded;
-        {
-            let now = boot_time();
-            let limits = digest.limits.clone();
-            let mut router = self.router.borrow_mut();
-            if let Some(admitted) = router.fleet.apply_digest(now, digest) {
-                self.note_admissions(now, &mut router, &admitted);
-                let changes = router.apply_limit_claims(now, &limits);
-                log_limit_changes(&self.logger, &changes, "region");
-            }
-        }
-        if !is_direct {
-            return;
+    async fn handle_changes(&self, changes: KindChanges) {
+        if changes.to_forward {
+            let message = PeerMessage::Changes(KindChanges {
+                to_forward: false,
+                ..changes.clone()
+            });
+            self.send_to_local(&message).await;
         }
-        let addresses = self.router.borrow().fleet.local_peer_addresses();
-        let message = PeerMessage::Digest(forwarded);
-        for (_, address) in addresses {
-            self.send_to(address, &message).await;
+        self.follower.apply_forwarded(changes);
+    }
+
+    async fn handle_digest(&self, digest: ZoneDigest) {
+        if !digest.forwarded {
+            let message = PeerMessage::Digest(ZoneDigest {
+                forwarded: true,
+                ..digest.clone()
+            });
+            self.send_to_local(&message).await;
         }
+        let now = boot_time();
+        let limits = digest.limits.clone();
+        let mut router = self.router.borrow_mut();
+        let Some(admitted) = router.fleet.apply_digest(now, digest) else {
+            return;
+        };
+        self.note_admissions(now, &mut router, &admitted);
+        let changes = router.apply_limit_claims(now, &limits);
+        log_limit_changes(&self.logger, &changes, "zone");
     }
 }
--- a/crates/gateway/src/peers/content.rs
+++ b/crates/gateway/src/peers/content.rs
@@ -2,28 +2,37 @@
 
 use super::{BeatService, ReportedAdmissions};
 use crate::message::{
-    HeartbeatEcho, HostStatus, LimitClaim, OrgUsage, PeerHeartbeat, RegionDigest, to_f32,
+    HeartbeatEcho, HostStatus, LimitClaim, OrgUsage, PeerHeartbeat, ZoneDigest, to_f32,
 };
 use fighall_core::{
     clock::boot_time,
     ids::{BootTime, ServiceId},
 };
 use fighall_kernel::stage::LifeStage;
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 /// Time for which an organisation's usage is repeated after its last change, in case a message was lost.
 const USAGE_REPEAT_TIME: Duration = Duration::from_millis(1_000);
 
+/// `HeartbeatReport` is the part of a heartbeat that only hosts of the own zone receive.
+#[derive(Clone, Debug, Default)]
+pub(super) struct HeartbeatReport {
+    usages: Vec<OrgUsage>,
+    demands: BTreeMap<ServiceId, Option<f32>>,
+    limits: Vec<LimitClaim>,
+}
+
 impl BeatService {
-    pub(super) fn new_heartbeat(
-        &self,
-        peer: &str,
-        usages: Vec<OrgUsage>,
-        limits: Vec<LimitClaim>,
-    ) -> PeerHeartbeat {
+    pub(super) fn new_report(&self, now: BootTime) -> HeartbeatReport {
+        let router = self.router.borrow();
+        HeartbeatReport {
+            usages: self.own_usages(now),
+            demands: to_single(router.own_demands(now)),
+            limits: router.own_limit_claims(now),
+        }
+    }
+
+    pub(super) fn new_heartbeat(&self, peer: &str, report: HeartbeatReport) -> PeerHeartbeat {
         let now = boot_time();
         let received = self.received.borrow();
         let echo = received.get(peer).map(|received| HeartbeatEcho {
@@ -39,14 +48,15 @@
             ready: self.is_serving(now),
             leaving: self.is_leaving(),
             copies: self.follower.copy_status(now),
-            usages,
-            demands: self.own_demands(now),
-            limits,
+            usages: report.usages,
+            demands: report.demands,
+            limits: report.limits,
         }
     }
 
-    pub(super) fn new_digest(&self, now: BootTime) -> RegionDigest {
+    pub(super) fn new_digest(&self, now: BootTime) -> ZoneDigest {
         let router = self.router.borrow();
+        let copies = self.follower.copy_status(now);
         let mut hosts = router.fleet.host_statuses(now);
         hosts.push(HostStatus {
             host: self.settings.host.clone(),
@@ -54,31 +64,20 @@
             age_ms: 0,
             ready: self.is_serving(now),
             leaving: self.is_leaving(),
+            store_unreachable: copies.store_unreachable,
         });
-        let heartbeats = router.fleet.live_local_peers(now);
-        let heartbeats = heartbeats.filter_map(|peer| peer.heartbeat.as_ref());
-        let mut services: BTreeSet<_> = heartbeats
-            .flat_map(|heartbeat| heartbeat.demands.keys())
-            .collect();
-        let own_demands = router.own_demands(now);
-        services.extend(own_demands.keys());
-        let mut demands = BTreeMap::new();
-        for service in services {
-            if let Some(demand) = router.region_demand(now, service) {
-                demands.insert(service.clone(), to_f32(demand));
-            }
-        }
-        RegionDigest {
+        ZoneDigest {
             region: self.settings.region.clone(),
+            zone: self.settings.zone.clone(),
             relay: self.settings.host.clone(),
             incarnation: *self.incarnation,
             sent_us: to_micros(now),
             forwarded: false,
             hosts,
-            copies: self.follower.copy_status(now),
-            usages: self.region_usages(now),
-            demands,
-            limits: router.region_limit_claims(now),
+            copies,
+            usages: self.zone_usages(now),
+            demands: to_single(router.zone_demands(now)),
+            limits: router.zone_limit_claims(now),
         }
     }
 
@@ -96,21 +95,13 @@
         self.kernel.signal().stage() > LifeStage::Running
     }
 
-    fn own_demands(&self, now: BootTime) -> BTreeMap<ServiceId, Option<f32>> {
-        let demands = self.router.borrow().own_demands(now);
-        demands
-            .into_iter()
-            .map(|(service, demand)| (service, demand.map(to_f32)))
-            .collect()
-    }
-
-    pub(super) fn own_usages(&self, now: BootTime) -> Vec<OrgUsage> {
+    fn own_usages(&self, now: BootTime) -> Vec<OrgUsage> {
         let usages = self.router.borrow().limiter.usage();
         recently_changed(usages, &mut self.reported_to_hosts.borrow_mut(), now)
     }
 
-    // Sums this host's usage and what the other hosts of the region have reported.
-    fn region_usages(&self, now: BootTime) -> Vec<OrgUsage> {
+    // Sums this host's usage and what the other hosts of the zone have reported.
+    fn zone_usages(&self, now: BootTime) -> Vec<OrgUsage> {
         let router = self.router.borrow();
         let peer_admissions = self.peer_admissions.borrow();
         let demands = router.fleet.local_org_demands(now);
@@ -124,7 +115,21 @@
             let demand = demands.get(&usage.organisation).copied().unwrap_or(0.0);
             usage.demand += to_f32(demand);
         }
-        recently_changed(usages, &mut self.reported_to_regions.borrow_mut(), now)
+        recently_changed(usages, &mut self.reported_to_zones.borrow_mut(), now)
+    }
+
+    // Tells whether the hosts of this zone have admitted so much that the other zones have to know at once.
+    pub(super) fn has_urgent_digest(&self) -> bool {
+        let router = self.router.borrow();
+        let zone_hosts = router.fleet.local_peers().count() + 1;
+        self.undigested.borrow().iter().any(|(name, unreported)| {
+            let limit = self.limit_of(name);
+            limit.is_some_and(|limit| {
+                router
+                    .limiter
+                    .is_report_due(&limit, *unreported, zone_hosts)
+            })
+        })
     }
 
     pub(super) fn has_urgent_report(&self) -> bool {
@@ -133,6 +138,13 @@
     }
 }
 
+fn to_single(demands: BTreeMap<ServiceId, Option<f64>>) -> BTreeMap<ServiceId, Option<f32>> {
+    let demands = demands.into_iter();
+    demands
+        .map(|(service, demand)| (service, demand.map(to_f32)))
+        .collect()
+}
+
 // Keeps the organisations whose admissions changed lately; the values of the others have been reported.
 fn recently_changed(
     mut usages: Vec<OrgUsage>,
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -74,7 +74,7 @@
         roster: TargetRoster,
     ) -> Self {
         Self {
-            fleet: FleetTable::new(&own_host.region, own_host.incarnation),
+            fleet: FleetTable::new(&own_host.region, &own_host.zone, own_host.incarnation),
             own_host,
             bounds,
             roster,
@@ -326,13 +326,38 @@
         demands
     }
 
-    /// Estimates the requests in flight for a service at all hosts of this host's region; absent
+    /// Estimates the requests in flight at all hosts of this host's zone, by service. The value is absent
     /// while none of them has measured its own.
-    pub fn region_demand(&self, now: BootTime, service: &str) -> Option<f64> {
-        let own_demand = self.demands.get(service);
-        let own_demand = own_demand.map(|demand| demand.average(now));
-        let local_demands = self.fleet.local_demands(now, service);
-        demand::estimate_region_demand(local_demands.chain(own_demand))
+    pub fn zone_demands(&self, now: BootTime) -> BTreeMap<ServiceId, Option<f64>> {
+        let mut hosts: BTreeMap<ServiceId, Vec<Option<f64>>> = BTreeMap::new();
+        for (service, demand) in self.own_demands(now) {
+            hosts.entry(service).or_default().push(demand);
+        }
+        for (service, demand) in self.fleet.local_demands(now) {
+            hosts.entry(service.clone()).or_default().push(demand);
+        }
+        let mut demands = BTreeMap::new();
+        for (service, hosts) in hosts {
+            demands.insert(service, demand::estimate_demand(&hosts));
+        }
+        demands
+    }
+
+    // Estimates the requests in flight for a service by region. A region of which no zone has a measurement
+    // is left out.
+    fn region_demands(&self, now: BootTime, service: &str) -> BTreeMap<RegionId, f64> {
+        let mut regions = self.fleet.zone_demands(now, service);
+        if let Some(demand) = self.zone_demands(now).get(service) {
+            let own_region = regions.entry(self.own_host.region.clone()).or_default();
+            own_region.push(*demand);
+        }
+        let mut demands = BTreeMap::new();
+        for (region, zones) in regions {
+            if let Some(demand) = demand::estimate_demand(&zones) {
+                demands.insert(region, demand);
+            }
+        }
+        demands
     }
 
     /// Updates what depends on the time: averages, spillover and expired entries. Returns the names
@@ -365,10 +390,7 @@
                 capacity.slots += f64::from(record.entry.slots);
             }
         }
-        let mut demands = self.fleet.remote_demands(now, service);
-        if let Some(demand) = self.region_demand(now, service) {
-            demands.insert(self.own_host.region.clone(), demand);
-        }
+        let demands = self.region_demands(now, service);
         // Right after the start the demand is not measured yet, and the averages are near zero.
         let measured = demands.values().sum::<f64>() >= 1.0;
         for (region, demand) in demands.into_iter().filter(|_| measured) {
--- a/crates/gateway/src/router/limits.rs
+++ b/crates/gateway/src/router/limits.rs
@@ -43,7 +43,7 @@
         change
     }
 
-    /// Applies what another host or region knows of limits. Claims on targets that this host does not list
+    /// Applies what another host or zone reports of limits. Claims on targets that this host does not list
     /// are skipped.
     pub fn apply_limit_claims(&mut self, now: BootTime, claims: &[LimitClaim]) -> LimitChanges {
         let mut changes = Vec::new();
@@ -96,7 +96,7 @@
         changes
     }
 
-    /// Lists this host's claims, for the other hosts of its region.
+    /// Lists this host's claims, for the other hosts of its zone.
     pub fn own_limit_claims(&self, now: BootTime) -> Vec<LimitClaim> {
         self.limit_claims(now, |record, holders, _| {
             if holders.contains(&self.own_host.host) {
@@ -107,8 +107,8 @@
         })
     }
 
-    /// Lists the claims of all hosts of this host's region, for the other regions.
-    pub fn region_limit_claims(&self, now: BootTime) -> Vec<LimitClaim> {
+    /// Lists the claims of all hosts of this host's zone, for the other zones.
+    pub fn zone_limit_claims(&self, now: BootTime) -> Vec<LimitClaim> {
         self.limit_claims(now, |record, holders, limited| {
             let mut sum = self.fleet.local_limit_claims(now, holders, limited);
             if holders.contains(&self.own_host.host) {
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -3,7 +3,7 @@
 
 use fighall_gateway::{
     fleet::{FleetTable, LIVENESS_TIMEOUT, REMOTE_LIVENESS_TIMEOUT},
-    message::{CopyStatus, HeartbeatEcho, HostStatus, OrgUsage, PeerHeartbeat, RegionDigest},
+    message::{CopyStatus, HeartbeatEcho, HostStatus, OrgUsage, PeerHeartbeat, ZoneDigest},
     policy::TrafficPolicy,
     policy_copy::PolicyCopy,
     registry::HostEntry,
@@ -55,7 +55,7 @@
 
 #[test]
 fn dead_and_leaving_hosts_accept_no_callers() {
-    let mut fleet = FleetTable::new("lima", OWN_INCARNATION);
+    let mut fleet = FleetTable::new("lima", "lima-a", OWN_INCARNATION);
     fleet.register(host_entry("h1"));
     let accepts = |fleet: &FleetTable, now| fleet.peers().any(|peer| peer.accepts_callers(now));
     assert!(
@@ -82,7 +82,7 @@
 
 #[test]
 fn confirmation_is_dated_by_the_echoed_heartbeat() {
-    let mut fleet = FleetTable::new("lima", OWN_INCARNATION);
+    let mut fleet = FleetTable::new("lima", "lima-a", OWN_INCARNATION);
     fleet.register(host_entry("h1"));
     let reply = PeerHeartbeat {
         echo: Some(HeartbeatEcho {
@@ -100,16 +100,18 @@
     assert_eq!(fleet.confirmed_at(seconds(14), 4), None);
 }
 
-fn digest(relay: &str, sent_us: u64, admitted: u64) -> RegionDigest {
+fn digest(relay: &str, sent_us: u64, admitted: u64) -> ZoneDigest {
     let host_status = |host: &str, age_ms| HostStatus {
         host: host.to_owned(),
         incarnation: 7,
         age_ms,
         ready: true,
         leaving: false,
+        store_unreachable: false,
     };
-    RegionDigest {
+    ZoneDigest {
         region: "iquitos".to_owned(),
+        zone: "iquitos-a".to_owned(),
         relay: relay.to_owned(),
         incarnation: 7,
         sent_us,
@@ -127,10 +129,11 @@
 }
 
 fn remote_fleet() -> FleetTable {
-    let mut fleet = FleetTable::new("lima", OWN_INCARNATION);
+    let mut fleet = FleetTable::new("lima", "lima-a", OWN_INCARNATION);
     for name in ["far-1", "far-2"] {
         fleet.register(HostEntry {
             region: "iquitos".to_owned(),
+            zone: "iquitos-a".to_owned(),
             ..host_entry(name)
         });
     }
@@ -138,7 +141,7 @@
 }
 
 #[test]
-fn digest_reports_the_liveness_of_the_hosts_of_its_region() {
+fn digest_reports_the_liveness_of_the_hosts_of_its_zone() {
     let mut fleet = remote_fleet();
     fleet.apply_digest(seconds(100), digest("far-1", 1, 10));
     let live_peers = |fleet: &FleetTable, now| fleet.live_count(now) - 1;
@@ -152,7 +155,7 @@
 }
 
 #[test]
-fn admissions_of_a_region_are_counted_once_across_relays() {
+fn admissions_of_a_zone_are_counted_once_across_relays() {
     let mut fleet = remote_fleet();
     let admissions_of = |fleet: &mut FleetTable, at, digest| {
         let admitted = fleet.apply_digest(at, digest);
@@ -187,13 +190,13 @@
 }
 
 #[test]
-fn one_host_per_region_is_the_relay_and_another_takes_over() {
+fn one_host_per_zone_is_the_relay_and_another_takes_over() {
     let names = ["h1", "h2", "h3"];
     let now = seconds(10);
     let relays = |alive: &[&str]| {
         let mut relays = Vec::new();
         for own in alive {
-            let mut fleet = FleetTable::new("lima", OWN_INCARNATION);
+            let mut fleet = FleetTable::new("lima", "lima-a", OWN_INCARNATION);
             for name in names.iter().filter(|name| *name != own) {
                 fleet.register(host_entry(name));
             }
@@ -216,7 +219,7 @@
 
 #[test]
 fn restarted_host_does_not_count_earlier_admissions_of_peers() {
-    let mut fleet = FleetTable::new("lima", OWN_INCARNATION);
+    let mut fleet = FleetTable::new("lima", "lima-a", OWN_INCARNATION);
     fleet.register(host_entry("h1"));
     let heartbeat_with_usage = |sent_us, admitted| PeerHeartbeat {
         usages: vec![OrgUsage {
@@ -244,7 +247,7 @@
         copy.apply(TrafficPolicy::default());
         copy.confirm(seconds(10));
         copies.push(copy);
-        let mut fleet = FleetTable::new("lima", OWN_INCARNATION);
+        let mut fleet = FleetTable::new("lima", "lima-a", OWN_INCARNATION);
         for name in names.iter().filter(|name| **name != own) {
             fleet.register(host_entry(name));
         }
@@ -296,7 +299,7 @@
 fn echo_of_a_previous_incarnation_confirms_nothing() {
     // The host's clock was at 5,000 s before its restart, and is at 14 s now.
     for incarnation in [OWN_INCARNATION - 1, OWN_INCARNATION] {
-        let mut fleet = FleetTable::new("lima", OWN_INCARNATION);
+        let mut fleet = FleetTable::new("lima", "lima-a", OWN_INCARNATION);
         fleet.register(host_entry("h1"));
         let echo = HeartbeatEcho {
             incarnation,
@@ -314,7 +317,7 @@
 
 #[test]
 fn store_watcher_without_store_responses_does_not_count_despite_a_fresh_policy() {
-    let mut fleet = FleetTable::new("lima", OWN_INCARNATION);
+    let mut fleet = FleetTable::new("lima", "lima-a", OWN_INCARNATION);
     fleet.register(host_entry("h1"));
     let bound = Duration::from_millis(1_600);
     fleet.apply_heartbeat(seconds(10), heartbeat("h1", 1));
@@ -339,7 +342,7 @@
     let names = ["h1", "h2", "h3", "h4"];
     let now = seconds(10);
     let fleet = |own: &str, failing_hosts: &[&str]| {
-        let mut fleet = FleetTable::new("lima", OWN_INCARNATION);
+        let mut fleet = FleetTable::new("lima", "lima-a", OWN_INCARNATION);
         for name in names.iter().filter(|name| **name != own) {
             fleet.register(host_entry(name));
             let mut message = heartbeat(name, 1);
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -102,6 +102,7 @@
     fn forward(&self, previous: u64, changes: Vec<ObjectChange>) {
         let version = changes.last().map_or(previous, |change| change.version);
         self.follower.apply_forwarded(KindChanges {
+            to_forward: false,
             kind: KIND,
             previous,
             version,
@@ -189,6 +190,7 @@
         compio::runtime::spawn(Rc::clone(&test.follower).run_checks()).detach();
         let start = test.latest();
         test.follower.apply_forwarded(KindChanges {
+            to_forward: false,
             kind: KIND,
             previous: start,
             version: start + 9,
--- a/crates/gateway/tests/limit_fleet/mod.rs
+++ b/crates/gateway/tests/limit_fleet/mod.rs
@@ -4,7 +4,7 @@
 use arbtest::arbitrary;
 use fighall_gateway::{
     decision::{OwnHost, PlacementQuery, SentRequest},
-    message::{CopyStatus, HostStatus, PeerHeartbeat, RegionDigest},
+    message::{CopyStatus, HostStatus, PeerHeartbeat, ZoneDigest},
     policy::{ServicePolicy, TrafficPolicy},
     refusal::{RequestLimits, RequestPriority},
     registry::HostEntry,
@@ -37,7 +37,7 @@
 
 enum Event {
     Heartbeat(usize, Box<PeerHeartbeat>),
-    Digest(usize, Box<RegionDigest>),
+    Digest(usize, Box<ZoneDigest>),
     Registered(usize, HostEntry),
     Unregistered(usize, String),
     Response(usize, u64, SentRequest, Duration, LimitReport),
@@ -361,13 +361,13 @@
         }
     }
 
-    fn take_digest(&mut self, to: usize, digest: RegionDigest) {
+    fn take_digest(&mut self, to: usize, digest: ZoneDigest) {
         let now = self.now;
         if self.hosts[to].dead {
             return;
         }
         let limits = digest.limits.clone();
-        let forwarded = RegionDigest {
+        let forwarded = ZoneDigest {
             forwarded: true,
             ..digest.clone()
         };
@@ -441,9 +441,11 @@
             age_ms: 0,
             ready: true,
             leaving: false,
+            store_unreachable: false,
         });
-        let digest = RegionDigest {
+        let digest = ZoneDigest {
             region: format!("r{}", self.hosts[number].region),
+            zone: format!("zone-{}", self.hosts[number].region),
             relay: self.hosts[number].name.clone(),
             incarnation: self.hosts[number].incarnation,
             sent_us,
@@ -452,7 +454,7 @@
             copies: CopyStatus::default(),
             usages: Vec::new(),
             demands: BTreeMap::new(),
-            limits: router.region_limit_claims(now),
+            limits: router.zone_limit_claims(now),
         };
         let own_region = self.hosts[number].region;
         for region in (0..self.regions).filter(|region| *region != own_region) {
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -2,12 +2,17 @@
 
 use arbtest::arbtest;
 use fighall_gateway::limit::{FleetLimiter, OrgLimit};
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 const ORG: &str = "andes";
 // The hosts start 10 s before the traffic.
 const START: Duration = Duration::from_secs(90);
 const STEP: Duration = Duration::from_millis(10);
+// Interval of the digests between availability zones.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(400);
 // Time after which a request is found not to have run.
 const NOT_RUN_DELAY: Duration = Duration::from_millis(1_000);
 
@@ -15,8 +20,12 @@
 struct SimulatedHosts {
     hosts: Vec<FleetLimiter>,
     reported: Vec<u64>,
-    in_transit: VecDeque<(Duration, usize, u64)>,
+    in_transit: BTreeMap<(Duration, u64), (usize, usize, u64)>,
+    reports: u64,
     delay: Duration,
+    // Number of availability zones. Reports reach the hosts of other zones with a digest.
+    zones: usize,
+    undigested: Vec<u64>,
     admitted: Vec<(Duration, u32)>,
     // Percentage of requests that do not run, and the refunds that are due for them.
     not_run_percent: u32,
@@ -36,8 +45,11 @@
         Self {
             reported: vec![0; count],
             hosts,
-            in_transit: VecDeque::new(),
+            in_transit: BTreeMap::new(),
+            reports: 0,
             delay,
+            zones: 1,
+            undigested: vec![0],
             admitted: Vec::new(),
             not_run_percent: 0,
             due_refunds: VecDeque::new(),
@@ -80,6 +92,38 @@
         }
     }
 
+    fn with_zones(mut self, zones: usize) -> Self {
+        self.zones = zones;
+        self.undigested = vec![0; zones];
+        self
+    }
+
+    fn post(&mut self, delay: Duration, report: (usize, usize, u64)) {
+        self.reports += 1;
+        self.in_transit
+            .insert((self.now + delay, self.reports), report);
+    }
+
+    // Sends the digest of each zone that is due, two hops to the hosts of the other zones.
+    fn send_digests(&mut self, limit: &OrgLimit) {
+        let due = self
+            .now
+            .as_millis()
+            .is_multiple_of(DIGEST_INTERVAL.as_millis());
+        for from_zone in 0..self.zones {
+            let zone_hosts = self.hosts.len().div_ceil(self.zones);
+            let undigested = self.undigested[from_zone];
+            let relay = &self.hosts[from_zone];
+            if !due && !relay.is_report_due(limit, undigested, zone_hosts) {
+                continue;
+            }
+            self.undigested[from_zone] = 0;
+            for zone in (0..self.zones).filter(|zone| *zone != from_zone) {
+                self.post(self.delay * 2, (from_zone, zone, undigested));
+            }
+        }
+    }
+
     fn with_not_run(mut self, percent: u32) -> Self {
         self.not_run_percent = percent;
         self
@@ -88,6 +132,7 @@
     fn exchange_reports(&mut self, limit: &OrgLimit) {
         let heartbeat_due = self.now.as_millis().is_multiple_of(400);
         let mut demands = vec![0.0; self.hosts.len()];
+        let mut due_reports = Vec::new();
         for (host, demand) in demands.iter_mut().enumerate() {
             let urgent = self.hosts[host].needs_report(|_| Some(*limit));
             for used in self.hosts[host].usage() {
@@ -95,23 +140,27 @@
                 if heartbeat_due || urgent {
                     let admitted_since = used.admitted - self.reported[host];
                     self.reported[host] = used.admitted;
-                    self.in_transit
-                        .push_back((self.now + self.delay, host, admitted_since));
+                    due_reports.push((host, admitted_since));
                 }
             }
             if heartbeat_due || urgent {
                 self.hosts[host].mark_reported();
             }
         }
-        while self
-            .in_transit
-            .front()
-            .is_some_and(|report| report.0 <= self.now)
-        {
-            let Some((_, from, admitted_since)) = self.in_transit.pop_front() else {
+        for (host, admitted_since) in due_reports {
+            self.post(self.delay, (host, host % self.zones, admitted_since));
+        }
+        self.send_digests(limit);
+        while let Some(report) = self.in_transit.first_entry() {
+            if report.key().0 > self.now {
                 break;
-            };
-            for host in (0..self.hosts.len()).filter(|host| *host != from) {
+            }
+            let (from, zone, admitted_since) = report.remove();
+            if from % self.zones == zone {
+                self.undigested[zone] += admitted_since;
+            }
+            let members = (0..self.hosts.len()).filter(|host| host % self.zones == zone);
+            for host in members.filter(|host| *host != from) {
                 self.hosts[host].count_peer_admissions(self.now, ORG, limit, admitted_since);
             }
         }
@@ -359,3 +408,38 @@
     })
     .budget_ms(2_000);
 }
+
+// Plays overloads of organisations with small and large rates. Admissions reach the hosts of other zones by the
+// digest of a relay, later than by a heartbeat.
+fn play_overload_over_zones(hosts: usize, zones: usize) {
+    for (rate, burst) in [(6.0, 6.0), (40.0, 40.0), (400.0, 400.0)] {
+        let limit = OrgLimit { rate, burst };
+        let delay = Duration::from_millis(30);
+        let mut simulated = SimulatedHosts::new(hosts, delay).with_zones(zones);
+        let weights = vec![1.0; hosts];
+        simulated.offer(&limit, rate * 0.5, &weights, Duration::from_secs(6));
+        simulated.offer(&limit, rate * 8.0, &weights, Duration::from_secs(8));
+        let window = Duration::from_secs(5);
+        let most = simulated.max_admitted_within(window);
+        let allowed = max_allowed(&limit, window);
+        assert!(
+            f64::from(most) <= allowed,
+            "{hosts} hosts, {rate}/s: {most} admitted in 5 s, allowed {allowed}"
+        );
+    }
+}
+
+#[test]
+fn overload_over_zones_stays_within_the_limit_at_9_hosts() {
+    play_overload_over_zones(9, 3);
+}
+
+#[test]
+fn overload_over_zones_stays_within_the_limit_at_80_hosts() {
+    play_overload_over_zones(80, 9);
+}
+
+#[test]
+fn overload_over_zones_stays_within_the_limit_at_300_hosts() {
+    play_overload_over_zones(300, 9);
+}
--- a/crates/gateway/tests/routing.rs
+++ b/crates/gateway/tests/routing.rs
@@ -2,7 +2,7 @@
 
 use fighall_gateway::{
     decision::{OwnHost, PlacementQuery},
-    demand::estimate_region_demand,
+    demand::estimate_demand,
     message::{CopyStatus, PeerHeartbeat},
     policy::{ServicePolicy, TrafficPolicy},
     refusal::{RequestLimits, RequestPriority},
@@ -167,7 +167,7 @@
 
 #[test]
 fn hosts_without_a_measurement_are_assumed_to_have_mean_demand() {
-    let demand = estimate_region_demand([Some(6.0), None, Some(4.0), None].into_iter());
+    let demand = estimate_demand(&[Some(6.0), None, Some(4.0), None]);
     assert_eq!(demand, Some(20.0));
-    assert_eq!(estimate_region_demand([None, None].into_iter()), None);
+    assert_eq!(estimate_demand(&[None, None]), None);
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -35,10 +35,21 @@
 
 /// Creates settings of a gateway with free ports. Returns their text and the parsed settings.
 pub(crate) fn settings(host: &str, store: SocketAddr, bounds: &str) -> (String, GatewaySettings) {
+    settings_in_zone(host, "lima-a", store, bounds)
+}
+
+/// Creates settings of a gateway in an availability zone of the region `lima`.
+pub(crate) fn settings_in_zone(
+    host: &str,
+    zone: &str,
+    store: SocketAddr,
+    bounds: &str,
+) -> (String, GatewaySettings) {
     let [callers, ready, directory, metrics, peers] = program_addresses();
     let text = format!(
-        "{{\"host\": \"{host}\", \"region\": \"lima\", \"zone\": \"lima-a\",
-          \"zones\": [{{\"zone\": \"lima-a\", \"region\": \"lima\"}}],
+        "{{\"host\": \"{host}\", \"region\": \"lima\", \"zone\": \"{zone}\",
+          \"zones\": [{{\"zone\": \"lima-a\", \"region\": \"lima\"}},
+            {{\"zone\": \"lima-b\", \"region\": \"lima\"}}],
           \"callers\": \"{callers}\", \"ready\": \"{ready}\", \"directory\": \"{directory}\",
           \"metrics\": \"{metrics}\",
           \"peers\": \"{peers}\", \"store\": \"{store}\", \"memory_mb\": 32,
