--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -147,7 +147,8 @@
         }
         let above_low = bucket.tokens >= low_tokens.max(1.0);
         let has_tokens = bucket.tokens >= 1.0 - limit.burst * MAX_OVERDRAFT;
-        if !above_low && !(has_tokens && bucket.take_fair(limit, own_share, draw)) {
+        let is_admitted = above_low || has_tokens && bucket.take_fair(limit, own_share, draw);
+        if !is_admitted {
             let wait_seconds = (1.0 - bucket.fair_tokens).max(0.1)
                 / (limit.rate * live_fraction * own_share).max(0.01);
             let wait_seconds = wait_seconds.clamp(RETRY_AFTER_SECONDS.0, RETRY_AFTER_SECONDS.1);
