gateway: show which settings and versions each host has in force

Cause: from outside nobody could tell which settings a host uses, or when a change had reached every zone. A reload also claimed to take a new log level and call budget, which it never applied, and logged a fault in the file every 2 s. Change: heartbeats carry a digest of the settings that hosts share; digests the lowest versions of a zone, its hosts behind and its settings. Metrics of any host show all zones; relays log when a policy or settings are in force in a zone and in the fleet, with the time. Settings that take effect after a restart are named; a fault is logged once. Each list and watch of the store is logged, as each is billed.

--- a/crates/bench/src/placing.rs
+++ b/crates/bench/src/placing.rs
@@ -10,7 +10,7 @@
     decision::{OwnHost, PlacementQuery, SentRequest},
     dialect::ResponseMetadata,
     load::LoadReport,
-    message::{CopyStatus, ZoneDigest},
+    message::{CopyStatus, ZoneDigest, ZoneVersions},
     placement::{WeightedTarget, rank},
     policy::{ServicePolicy, TrafficPolicy},
     refusal::{RequestLimits, RequestPriority},
@@ -301,6 +301,7 @@
 fn digest(now: Duration, router: &RequestRouter) -> ZoneDigest {
     let demands = router.own_demands(now).into_iter();
     ZoneDigest {
+        versions: ZoneVersions::default(),
         region: router.own_host.region.clone(),
         zone: router.own_host.zone.clone(),
         relay: router.own_host.host.clone(),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -14,6 +14,7 @@
     fleet::peer::{FleetPeer, ZoneView},
     message::{CopyStatus, HostStatus, OrgUsage, PeerHeartbeat, ZoneDigest},
     registry::HostEntry,
+    rollout::{self, FleetVersions},
 };
 use fighall_core::ids::{
     BootTime, HostId, Incarnation, OrgId, RegionId, ServiceId, Version, ZoneId,
@@ -357,6 +358,24 @@
         self.copies(now).map(version_of).max().unwrap_or_default()
     }
 
+    /// Summarises what the hosts of each availability zone have in force; `own` is what this host has.
+    pub fn versions(&self, now: BootTime, own: CopyStatus) -> FleetVersions {
+        let mut versions = FleetVersions::new();
+        for view in self.live_views(now) {
+            versions.insert(view.digest.zone.clone(), view.digest.versions.clone());
+        }
+        let local = self.live_local_peers(now);
+        let local = local.filter_map(|peer| Some(peer.heartbeat.as_ref()?.copies));
+        let hosts: Vec<_> = local.chain([own]).collect();
+        let remote = versions.values().map(|zone| zone.policy);
+        let highest = remote
+            .chain(hosts.iter().map(|copies| copies.policy_number))
+            .max();
+        let own_zone = rollout::summarise(&hosts, highest.unwrap_or(0));
+        versions.insert(self.zone.clone(), own_zone);
+        versions
+    }
+
     /// Lists the versions of the store's objects that other hosts report.
     pub fn copies(&self, now: BootTime) -> impl Iterator<Item = &CopyStatus> {
         let peers = self.live_region_peers(now);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,16 +19,18 @@
     policy_copy::PolicyCopy,
     registry::HOSTS_KIND,
     router::RequestRouter,
+    settings_status::SettingsStatus,
 };
 use event_listener::Event;
 use fighall_core::{
     clock::boot_time,
     ids::{BootTime, Version},
 };
-use fighall_kernel::{errors::Result, kernel::MicroKernel};
+use fighall_kernel::{errors::Result as KernelResult, kernel::MicroKernel};
 use fighall_store::{
     client::StoreClient,
     era::StoreEra,
+    errors::Error as StoreError,
     watch::{KindWatch, WatchStep},
 };
 use futures_util::{FutureExt, pin_mut, select_biased};
@@ -117,6 +119,7 @@
     dialect: Rc<WireDialect>,
     router: Rc<RefCell<RequestRouter>>,
     policy: Rc<RefCell<PolicyCopy>>,
+    settings_status: Rc<Cell<SettingsStatus>>,
     store: Rc<StoreClient>,
     metrics: Rc<GatewayMetrics>,
     logger: Rc<Logger>,
@@ -143,7 +146,7 @@
     /// # Errors
     ///
     /// Returns an error if a required service is not registered.
-    pub fn new(kernel: &MicroKernel) -> Result<Self> {
+    pub fn new(kernel: &MicroKernel) -> KernelResult<Self> {
         let mut kinds = BTreeMap::new();
         for kind in FOLLOWED_KINDS {
             kinds.insert(kind, KindState::default());
@@ -152,6 +155,7 @@
             dialect: kernel.find(names::DIALECT)?,
             router: kernel.find(names::ROUTER)?,
             policy: kernel.find(names::POLICY)?,
+            settings_status: kernel.find(names::SETTINGS_STATUS)?,
             store: kernel.find(names::STORE)?,
             metrics: kernel.find(names::METRICS)?,
             logger: kernel.find(names::LOGGER)?,
@@ -184,6 +188,7 @@
             policy_age_us: age.and_then(|age| u64::try_from(age.as_micros()).ok()),
             targets: self.copies.latest(FollowedKind::Targets),
             evacuations: self.copies.latest(FollowedKind::Evacuations),
+            settings: self.settings_status.get().shared,
         }
     }
 
@@ -220,6 +225,12 @@
                 }
             };
             state.call_started_at.set(None);
+            self.log_step(
+                &name,
+                wait,
+                boot_time().saturating_sub(started_at),
+                step.as_ref(),
+            );
             match step {
                 None => self.count_step(&name, "restarted"),
                 Some(Ok(step)) => {
@@ -346,6 +357,24 @@
         }
     }
 
+    // Every call is billed, and hosts that rely on store watchers make few.
+    fn log_step(
+        &self,
+        kind: &str,
+        wait: Duration,
+        elapsed: Duration,
+        step: Option<&Result<WatchStep, StoreError>>,
+    ) {
+        let (outcome, objects) = match step {
+            None => ("restarted", 0),
+            Some(Err(_)) => ("failed", 0),
+            Some(Ok(WatchStep::Listed { list, .. })) => ("listed", list.objects.len()),
+            Some(Ok(WatchStep::Changed { changes, .. })) => ("watched", changes.len()),
+        };
+        info!(self.logger, "store call"; "kind" => kind, "outcome" => outcome, "objects" => objects,
+            "wait_ms" => wait.as_millis(), "held_ms" => elapsed.as_millis());
+    }
+
     fn count_step(&self, kind: &str, outcome: &str) {
         let labels = [kind, outcome];
         self.metrics.watch_steps.with_label_values(&labels).inc();
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -8,6 +8,9 @@
 use fighall_store::object::ObjectChange;
 use std::collections::BTreeMap;
 
+/// Digest of settings: equal for equal values.
+pub type SettingsDigest = u64;
+
 message! {
     /// `PeerMessage` is the content of one datagram.
     pub enum PeerMessage {
@@ -101,6 +104,34 @@
         /// Store version of the latest change of the evacuations.
         #[serde(rename = "z")]
         pub evacuations: Version,
+        /// Digest of the settings in force that hosts share.
+        #[serde(rename = "x", default)]
+        pub settings: SettingsDigest,
+    }
+}
+
+message! {
+    /// `ZoneVersions` summarises what the live hosts of an availability zone have in force.
+    #[derive(Default)]
+    pub struct ZoneVersions {
+        /// Number of live hosts.
+        #[serde(rename = "n")]
+        pub hosts: u32,
+        /// Lowest number of the policy in force; 0 if a host has none.
+        #[serde(rename = "p")]
+        pub policy: u64,
+        /// Number of hosts with a lower policy number than the highest one that the relay is aware of.
+        #[serde(rename = "b")]
+        pub hosts_behind: u32,
+        /// Lowest store version of the targets.
+        #[serde(rename = "s")]
+        pub targets: Version,
+        /// Lowest store version of the evacuations.
+        #[serde(rename = "z")]
+        pub evacuations: Version,
+        /// Number of hosts by the digest of their settings.
+        #[serde(rename = "x")]
+        pub settings: BTreeMap<SettingsDigest, u32>,
     }
 }
 
@@ -248,6 +279,9 @@
         /// Rate limits that targets name, and the claims of the zone's hosts on them.
         #[serde(rename = "m", default)]
         pub limits: Vec<LimitClaim>,
+        /// What the zone's hosts have in force.
+        #[serde(rename = "v", default)]
+        pub versions: ZoneVersions,
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics of a gateway.
 
-use crate::limit_metrics::LimitMetrics;
+use crate::{limit_metrics::LimitMetrics, rollout_metrics::RolloutMetrics};
 use fighall_core::ids::BootTime;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
@@ -36,6 +36,8 @@
     pub hosts: IntGauge,
     /// Limits that targets name.
     pub limits: LimitMetrics,
+    /// What the hosts of each zone have in force.
+    pub rollouts: RolloutMetrics,
 }
 
 impl GatewayMetrics {
@@ -96,6 +98,7 @@
             targets: gauge("fighall_targets", "Targets listed")?,
             hosts: gauge("fighall_hosts", "Hosts heard")?,
             limits: LimitMetrics::new(&registry)?,
+            rollouts: RolloutMetrics::new(&registry)?,
             registry,
         })
     }
--- a/crates/gateway/src/names.rs
+++ b/crates/gateway/src/names.rs
@@ -2,6 +2,8 @@
 
 /// [`crate::settings::GatewaySettings`] that the process started with.
 pub const SETTINGS: &str = "settings";
+/// [`crate::settings_status::SettingsStatus`], the digests of the settings in force.
+pub const SETTINGS_STATUS: &str = "settings status";
 /// [`crate::dialect::WireDialect`] of the deployment.
 pub const DIALECT: &str = "dialect";
 /// [`slog::Logger`] of the process.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -17,9 +17,12 @@
     proxy::CallerProxy,
     reload::{SettingsFile, SettingsReload},
     reuse::DEFAULT_IDLE_LIMIT,
+    rollout::RolloutTracker,
+    rollout_log::log_rollouts,
     roster::TargetRoster,
     router::RequestRouter,
     settings::GatewaySettings,
+    settings_status::SettingsStatus,
 };
 use bytes::Bytes;
 use compio::net::TcpListener;
@@ -84,6 +87,8 @@
     logger: Rc<Logger>,
     incarnation: Incarnation,
     registered_version: Cell<Option<Version>>,
+    settings_status: Rc<Cell<SettingsStatus>>,
+    rollouts: RefCell<RolloutTracker>,
 }
 
 impl std::fmt::Debug for GatewayNode {
@@ -134,6 +139,8 @@
             logger: kernel.find(names::LOGGER)?,
             incarnation: *incarnation,
             registered_version: Cell::new(None),
+            settings_status: kernel.find(names::SETTINGS_STATUS)?,
+            rollouts: RefCell::new(RolloutTracker::default()),
             kernel,
             follower,
             beat_service,
@@ -288,6 +295,21 @@
         }
     }
 
+    // Updates the metrics of what is in force. Completed rollouts are logged by the relays, so that each is
+    // reported once for a zone.
+    fn follow_rollouts(&self, now: BootTime) {
+        let own = self.follower.copy_status(now);
+        let router = self.router.borrow();
+        let versions = router.fleet.versions(now, own);
+        self.metrics
+            .rollouts
+            .update(&self.settings_status.get(), &versions);
+        let events = self.rollouts.borrow_mut().update(now, &own, &versions);
+        if router.fleet.is_relay(now, &self.settings.host) {
+            log_rollouts(&self.logger, &self.settings.zone, &events);
+        }
+    }
+
     async fn maintain(self: Rc<Self>) {
         loop {
             compio::time::sleep(TICK_INTERVAL).await;
@@ -309,6 +331,7 @@
             self.metrics
                 .limits
                 .update(now, &self.router.borrow().roster);
+            self.follow_rollouts(now);
             let live_count = self.router.borrow().fleet.live_count(now);
             self.metrics
                 .hosts
@@ -341,6 +364,8 @@
     let pool = ConnectionPool::new()
         .with_source_address(Some(settings.callers.ip()))
         .with_idle_timeout(DEFAULT_IDLE_LIMIT);
+    let status = SettingsStatus::new(&settings);
+    kernel.register(names::SETTINGS_STATUS, Rc::new(Cell::new(status)))?;
     kernel.register(names::SETTINGS, Rc::new(settings))?;
     kernel.register(names::DIALECT, Rc::new(dialect))?;
     kernel.register(names::LOGGER, Rc::new(logger))?;
--- a/crates/gateway/src/peers/content.rs
+++ b/crates/gateway/src/peers/content.rs
@@ -74,6 +74,11 @@
             sent_us: to_micros(now),
             forwarded: false,
             hosts,
+            versions: router
+                .fleet
+                .versions(now, copies)
+                .remove(&self.settings.zone)
+                .unwrap_or_default(),
             copies,
             usages: self.zone_usages(now),
             demands: to_single(router.zone_demands(now)),
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -5,11 +5,16 @@
     names,
     router::RequestRouter,
     settings::{BoundsReader, GatewaySettings},
+    settings_status::{self, SettingsStatus, format_digest},
 };
 use fighall_kernel::kernel::{MicroKernel, SIGHUP};
 use futures_util::{FutureExt, pin_mut, select_biased};
 use slog::{Logger, info, warn};
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 /// Interval at which the settings file is read again, since it may change without a signal.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
@@ -27,8 +32,13 @@
 pub struct SettingsReload {
     file: SettingsFile,
     router: Rc<RefCell<RequestRouter>>,
+    status: Rc<Cell<SettingsStatus>>,
     logger: Rc<Logger>,
-    current: RefCell<GatewaySettings>,
+    // Settings that the process started with, and those that were read last.
+    started: Rc<GatewaySettings>,
+    read: RefCell<GatewaySettings>,
+    // Findings of the file as it is now; empty if it has none.
+    rejected: RefCell<String>,
 }
 
 impl std::fmt::Debug for SettingsReload {
@@ -50,8 +60,11 @@
         Ok(Self {
             file,
             router: kernel.find(names::ROUTER)?,
+            status: kernel.find(names::SETTINGS_STATUS)?,
             logger: kernel.find(names::LOGGER)?,
-            current: RefCell::new((*settings).clone()),
+            read: RefCell::new((*settings).clone()),
+            started: settings,
+            rejected: RefCell::new(String::new()),
         })
     }
 
@@ -75,38 +88,39 @@
         let new_settings = match GatewaySettings::load(&self.file.path, self.file.bounds) {
             Ok(settings) => settings,
             Err(error) => {
-                warn!(self.logger, "settings not taken; the last ones stay";
-                    "findings" => error.to_string());
+                self.report_rejection(error.to_string());
                 return;
             }
         };
-        let mut current = self.current.borrow_mut();
-        if *current == new_settings {
+        self.rejected.borrow_mut().clear();
+        if *self.read.borrow() == new_settings {
             if signalled {
                 info!(self.logger, "settings unchanged");
             }
             return;
         }
-        if !has_same_fixed_settings(&current, &new_settings) {
-            warn!(
-                self.logger,
-                "changed addresses and locations take effect after a restart"
-            );
+        let in_force = settings_status::in_force(&self.started, &new_settings);
+        let status = SettingsStatus::new(&in_force);
+        let fixed = settings_status::fixed_changes(&self.started, &new_settings);
+        if !fixed.is_empty() {
+            warn!(self.logger, "changed settings that take effect after a restart";
+                "settings" => fixed.join(", "));
         }
-        info!(self.logger, "settings taken"; "bounds" => format!("{:?}", new_settings.bounds));
-        self.router.borrow_mut().bounds = new_settings.bounds;
-        *current = new_settings;
+        info!(self.logger, "settings taken"; "bounds" => format!("{:?}", in_force.bounds),
+            "settings" => format_digest(status.shared), "own_settings" => format_digest(status.own),
+            "signalled" => signalled);
+        self.router.borrow_mut().bounds = in_force.bounds;
+        self.status.set(status);
+        self.read.replace(new_settings);
     }
-}
 
-// Tells whether the settings are equal apart from the bounds, the log level and the store call budget. The
-// others, such as the bound addresses, stay as they were at the start until a restart.
-fn has_same_fixed_settings(current: &GatewaySettings, new_settings: &GatewaySettings) -> bool {
-    let new_settings = GatewaySettings {
-        bounds: current.bounds,
-        log_level: current.log_level,
-        store_calls: current.store_calls,
-        ..new_settings.clone()
-    };
-    *current == new_settings
+    // The file is read every few seconds, but each fault is reported once.
+    fn report_rejection(&self, findings: String) {
+        if *self.rejected.borrow() == findings {
+            return;
+        }
+        warn!(self.logger, "settings not taken; the last ones stay"; "findings" => &findings,
+            "settings" => format_digest(self.status.get().shared));
+        self.rejected.replace(findings);
+    }
 }
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -3,7 +3,9 @@
 
 use fighall_gateway::{
     fleet::{FleetTable, LIVENESS_TIMEOUT, REMOTE_LIVENESS_TIMEOUT},
-    message::{CopyStatus, HeartbeatEcho, HostStatus, OrgUsage, PeerHeartbeat, ZoneDigest},
+    message::{
+        CopyStatus, HeartbeatEcho, HostStatus, OrgUsage, PeerHeartbeat, ZoneDigest, ZoneVersions,
+    },
     policy::TrafficPolicy,
     policy_copy::PolicyCopy,
     registry::HostEntry,
@@ -36,6 +38,7 @@
     store_unreachable: false,
     targets: 6,
     evacuations: 0,
+    settings: 0,
 };
 
 fn heartbeat(name: &str, sent_us: u64) -> PeerHeartbeat {
@@ -110,6 +113,7 @@
         store_unreachable: false,
     };
     ZoneDigest {
+        versions: ZoneVersions::default(),
         region: "iquitos".to_owned(),
         zone: "iquitos-a".to_owned(),
         relay: relay.to_owned(),
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -10,6 +10,7 @@
     names, native,
     policy_copy::PolicyCopy,
     router::RequestRouter,
+    settings_status::SettingsStatus,
 };
 use fighall_kernel::kernel::MicroKernel;
 use fighall_store::{
@@ -17,7 +18,12 @@
     object::ObjectChange,
 };
 use fighall_testkit::{platform::PlatformStandIn, relay::FaultRelay};
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 use support::{new_router, target_entry};
 
 const KIND: FollowedKind = FollowedKind::Targets;
@@ -41,6 +47,10 @@
         kernel.register(names::DIALECT, Rc::new(dialect)),
         kernel.register(names::ROUTER, Rc::clone(&router)),
         kernel.register(names::POLICY, Rc::new(RefCell::new(PolicyCopy::default()))),
+        kernel.register(
+            names::SETTINGS_STATUS,
+            Rc::new(Cell::new(SettingsStatus::default())),
+        ),
         kernel.register(names::STORE, Rc::new(client)),
         kernel.register(
             names::METRICS,
--- a/crates/gateway/tests/limit_fleet/mod.rs
+++ b/crates/gateway/tests/limit_fleet/mod.rs
@@ -4,7 +4,7 @@
 use arbtest::arbitrary;
 use fighall_gateway::{
     decision::{OwnHost, PlacementQuery, SentRequest},
-    message::{CopyStatus, HostStatus, PeerHeartbeat, ZoneDigest},
+    message::{CopyStatus, HostStatus, PeerHeartbeat, ZoneDigest, ZoneVersions},
     policy::{ServicePolicy, TrafficPolicy},
     refusal::{RequestLimits, RequestPriority},
     registry::HostEntry,
@@ -444,6 +444,7 @@
             store_unreachable: false,
         });
         let digest = ZoneDigest {
+            versions: ZoneVersions::default(),
             region: format!("r{}", self.hosts[number].region),
             zone: format!("zone-{}", self.hosts[number].region),
             relay: self.hosts[number].name.clone(),
--- a/crates/gateway/tests/malformed.rs
+++ b/crates/gateway/tests/malformed.rs
@@ -125,6 +125,7 @@
             store_unreachable: false,
             targets: u64::MAX,
             evacuations: u64::MAX,
+            settings: u64::MAX,
         },
         usages: vec![OrgUsage {
             organisation: "andes".to_owned(),
--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -80,6 +80,61 @@
     }
 }
 
+// Values of a field in the log lines with a message, in order.
+fn logged(log: &str, message: &str, field: &str) -> Vec<String> {
+    let lines = log
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("a JSON line"));
+    let lines = lines.filter(|line: &serde_json::Value| line["message"] == message);
+    lines.map(|line| line[field].to_string()).collect()
+}
+
+#[test]
+fn each_change_of_the_settings_is_logged_once_with_its_digest_and_faults_keep_the_last() {
+    let (text, _) = support::settings("h1", unreachable_store(), "\"drain=2500\"");
+    let path = write_settings("changes.json", &text);
+    let child = start(&path);
+    std::thread::sleep(Duration::from_millis(600));
+    // Twenty changes within a second, the last of them half written and then cut short for good.
+    for number in 0..20 {
+        let changed = text.replace("drain=2500", &format!("drain={}", 1_700 + number));
+        write_settings("changes.json", &changed[..changed.len() / 2]);
+        write_settings("changes.json", &changed);
+        signal(&child, Signal::HUP);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let fixed = text
+        .replace("drain=2500", "drain=1719")
+        .replace("\"memory_mb\": 32", "\"memory_mb\": 64");
+    write_settings("changes.json", &fixed);
+    signal(&child, Signal::HUP);
+    std::thread::sleep(Duration::from_millis(300));
+    write_settings("changes.json", &text[..text.len() / 2]);
+    // The file is read every 2 s as well.
+    std::thread::sleep(Duration::from_millis(4_500));
+    signal(&child, Signal::TERM);
+    let output = finish(child);
+    let log = String::from_utf8_lossy(&output.stdout);
+    let digests = logged(&log, "settings taken", "settings");
+    let last = digests.last().expect("a change");
+    let bounds = logged(&log, "settings taken", "bounds");
+    assert!(bounds.last().expect("a change").contains("1.719s"), "{log}");
+    let restart = logged(
+        &log,
+        "changed settings that take effect after a restart",
+        "settings",
+    );
+    assert_eq!(restart, ["\"memory_mb\""], "{log}");
+    let rejected = logged(&log, "settings not taken; the last ones stay", "settings");
+    assert_eq!(rejected.last(), Some(last), "{log}");
+    assert!(rejected.len() <= 21, "each fault once: {log}");
+    let findings = logged(&log, "settings not taken; the last ones stay", "findings");
+    assert!(
+        findings.last().expect("a fault").contains("changes.json"),
+        "{log}"
+    );
+}
+
 #[test]
 fn findings_are_reported_with_their_positions_and_an_exit_code() {
     let path = write_settings(
--- a/crates/gateway/tests/zones.rs
+++ b/crates/gateway/tests/zones.rs
@@ -5,7 +5,7 @@
 
 use fighall_gateway::{
     fleet::FleetTable,
-    message::{CopyStatus, HeartbeatEcho, HostStatus, PeerHeartbeat, ZoneDigest},
+    message::{CopyStatus, HeartbeatEcho, HostStatus, PeerHeartbeat, ZoneDigest, ZoneVersions},
     registry::HostEntry,
 };
 use std::{
@@ -65,6 +65,7 @@
         store_unreachable: false,
     });
     ZoneDigest {
+        versions: ZoneVersions::default(),
         region: entry(zone).region,
         zone: entry(zone).zone,
         relay: entry(zone).host,
