gateway: compressed and paced forwarding, also of the policy

A store watcher sent 45 KB of changes to 33 hosts each 0.45 s, over the link's 1.5 MB/s, so its heartbeats came too late to rely on; what changed in the first 1.8 s was not forwarded at all; no policy fits 256 KB for a zone. Change: datagrams above 1 KB are compressed (flate2). Changes are split into messages of 40 KB, the policy is forwarded like the others, and what is sent to a whole zone is queued and spread over time, half of a 12 Mbit/s link at most. Changes of a start are held back for 1.2 s in place of being dropped. A failed call is not repeated within 0.8 s. Tests: datagram.rs (sizes, a decompression bomb, noise); starting, region, following, zones as before, green.

--- a/crates/gateway/src/follow/forwarding.rs
+++ b/crates/gateway/src/follow/forwarding.rs
@@ -13,15 +13,14 @@
     ids::{BootTime, Version},
 };
 use fighall_store::object::ObjectChange;
-use slog::{debug, info};
+use slog::info;
 use std::time::Duration;
 
-/// Largest number of bytes for forwarding one policy to all hosts of a region: a fifth of a second on a
-/// 10 Mbit/s link. Later messages queue behind it, and leaving targets have to be announced in time.
-const MAX_FORWARDED_POLICY_BYTES: usize = 256_000;
-/// Time after the start for which a host forwards no changes: it does not know the hosts that started with it
-/// before the next watch of the hosts and two heartbeat intervals.
-const FORWARDING_GRACE: Duration = Duration::from_millis(1_800);
+/// Bytes of values in one forwarded message, before compression: a lost one costs few changes.
+const MAX_FORWARDED_BYTES: usize = 40_000;
+/// Time after the start for which a host holds changes back: hosts that start together each take themselves
+/// for a store watcher until they have received the heartbeats of the others.
+const FORWARDING_GRACE: Duration = Duration::from_millis(1_200);
 
 impl StoreFollower {
     // Waits while store watchers forward changes to this host. It returns at once if nothing has been
@@ -69,9 +68,19 @@
             )
     }
 
-    /// Takes the changes that have to be forwarded to the other hosts of the region.
+    /// Takes the changes that have to be forwarded to the other hosts of the region. Only store watchers have
+    /// any, or every host that has seen a change would forward it again.
     pub fn take_outbox(&self) -> Vec<KindChanges> {
-        self.outbox.take()
+        let now = boot_time();
+        if now.saturating_sub(self.started_at) < FORWARDING_GRACE {
+            return Vec::new();
+        }
+        let changes = self.outbox.take();
+        if self.is_store_watcher(now) {
+            changes
+        } else {
+            Vec::new()
+        }
     }
 
     /// Applies changes that a store watcher forwarded. If earlier ones are missing, the store is queried
@@ -111,20 +120,8 @@
         }
     }
 
-    // Hosts that start together do not know each other yet, so each takes itself for a store watcher. What
-    // the calls of a start return, every other host reads itself.
-    fn may_forward(&self, kind: FollowedKind) -> bool {
-        let now = boot_time();
-        let listed = self
-            .kinds
-            .get(&kind)
-            .is_some_and(|state| state.listed.get());
-        let is_starting = now.saturating_sub(self.started_at) < FORWARDING_GRACE;
-        listed && !is_starting && self.is_store_watcher(now)
-    }
-
-    // Queues changes for the other hosts of the region. Only store watchers do so, or every host that has
-    // seen a change would forward it again.
+    // Queues changes for the other hosts of the region, but not those that the calls of a start return, which
+    // every other host reads itself.
     pub(super) fn queue_changes(
         &self,
         kind: FollowedKind,
@@ -132,26 +129,53 @@
         changes: &[ObjectChange],
     ) {
         let first_version = changes.iter().map(|change| change.version).min();
-        let Some(first_version) = first_version.filter(|_| self.may_forward(kind)) else {
+        let is_listed = self
+            .kinds
+            .get(&kind)
+            .is_some_and(|state| state.listed.get());
+        let Some(first_version) = first_version.filter(|_| is_listed) else {
             return;
         };
-        let values = changes.iter().filter_map(|change| change.value.as_ref());
-        let bytes = values.map(String::len).sum::<usize>()
-            * self.router.borrow().fleet.local_peers().count();
-        if kind == FollowedKind::Policy && bytes > MAX_FORWARDED_POLICY_BYTES {
-            debug!(self.logger, "policy too large to forward"; "bytes" => bytes);
-            return;
+        // The other store watcher may already have forwarded some of these changes.
+        let latest = self.copies.latest(kind);
+        let previous = latest.min(first_version.saturating_sub(1));
+        let messages = split_changes(kind, previous, version, changes);
+        self.outbox.borrow_mut().extend(messages);
+    }
+}
+
+// Splits changes into messages of limited size, each of which continues where the one before ends.
+fn split_changes(
+    kind: FollowedKind,
+    previous: Version,
+    version: Version,
+    changes: &[ObjectChange],
+) -> Vec<KindChanges> {
+    let mut messages = Vec::new();
+    let mut message = KindChanges {
+        kind,
+        previous,
+        version,
+        changes: Vec::new(),
+        to_forward: false,
+    };
+    let mut bytes = 0;
+    for change in changes {
+        let change_bytes = change.value.as_ref().map_or(0, String::len);
+        if !message.changes.is_empty() && bytes + change_bytes > MAX_FORWARDED_BYTES {
+            let last_version = message.changes.last().map_or(previous, |last| last.version);
+            let next = KindChanges {
+                previous: last_version,
+                changes: Vec::new(),
+                ..message.clone()
+            };
+            message.version = last_version;
+            messages.push(std::mem::replace(&mut message, next));
+            bytes = 0;
         }
-        self.outbox.borrow_mut().push(KindChanges {
-            to_forward: false,
-            kind,
-            // The other store watcher may already have forwarded some of these changes.
-            previous: self
-                .copies
-                .latest(kind)
-                .min(first_version.saturating_sub(1)),
-            version,
-            changes: changes.to_vec(),
-        });
+        bytes += change_bytes;
+        message.changes.push(change.clone());
     }
+    messages.push(message);
+    messages
 }
--- a/crates/gateway/src/follow/freshness.rs
+++ b/crates/gateway/src/follow/freshness.rs
@@ -17,6 +17,9 @@
 /// store: while store watchers forward changes to it, it does not call and cannot see a recovery.
 const UNREACHABLE_PERIOD: Duration = Duration::from_secs(10);
 
+/// Shortest time between a failed call of a kind and the next one that a missed change causes. It is well
+/// below the drain bound, within which a host has to catch up once the store responds again.
+const FAILED_CALL_SPACING: Duration = Duration::from_millis(800);
 /// Time for which a store call in progress is not restarted: a large policy takes half a second on a
 /// slow link, and a restarted call transfers it from the beginning.
 const CALL_GRACE: Duration = Duration::from_millis(1_000);
@@ -91,6 +94,11 @@
         if !state.listed.get() || !state.has_long_wait.get() {
             return false;
         }
+        // A store that rejects the calls of this host, or cannot be reached, is not called all the time.
+        let failed_at = state.failed_at.get();
+        if failed_at.is_some_and(|at| now.saturating_sub(at) < FAILED_CALL_SPACING) {
+            return false;
+        }
         // A call in progress will return what is missing, unless its connection is dead.
         let started_at = state.call_started_at.get();
         if started_at.is_some_and(|at| now.saturating_sub(at) < CALL_GRACE) {
@@ -105,10 +113,8 @@
                 FollowedKind::Hosts => 0,
             }
         };
-        if kind == FollowedKind::Policy {
-            // Most policies are too large for store watchers to forward.
-            let stale = !self.policy.borrow().is_fresh(now, POLICY_STALE_AGE);
-            return stale || peer_version > self.copies.latest(kind);
+        if kind == FollowedKind::Policy && !self.policy.borrow().is_fresh(now, POLICY_STALE_AGE) {
+            return true;
         }
         let (known_version, latest_version) = if state.misses_changes() {
             (
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod behind;
 pub mod copies;
 pub mod daemon;
+pub mod datagram;
 pub mod decision;
 pub mod demand;
 pub mod dialect;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -204,6 +204,7 @@
         kernel.spawn_service(Rc::clone(&self.follower).follow_eras());
         kernel.spawn_service(Rc::clone(&self.beat_service).run_receiver());
         kernel.spawn_service(Rc::clone(&self.beat_service).run_sender());
+        kernel.spawn_service(Rc::clone(&self.beat_service).run_forwarder());
         kernel.spawn_service(Rc::clone(self).register());
         kernel.spawn_service(Rc::clone(self).maintain());
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,6 +7,7 @@
 mod content;
 
 use crate::{
+    datagram::{self, MAX_DATAGRAM_BYTES},
     errors::{Error, Result},
     fleet::{Admissions, relays::HeartbeatRecipient},
     follow::StoreFollower,
@@ -20,6 +21,7 @@
 };
 use compio::{BufResult, net::UdpSocket};
 use content::HeartbeatReport;
+use event_listener::Event;
 use fighall_core::{
     clock::boot_time,
     ids::{BootTime, HostId, Incarnation, OrgId, ZoneId},
@@ -28,7 +30,7 @@
 use slog::{Logger, debug, info, warn};
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -38,8 +40,12 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// Interval of the checks for changes to forward and for admissions to report before a heartbeat is due.
 const SEND_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Size limit of an encoded message, below the largest payload of a UDP datagram.
-const MAX_DATAGRAM_BYTES: usize = 60_000;
+/// Bytes that are sent to the hosts of the zone at once, and the interval before the next ones. Together they
+/// take half of a link of 12 Mbit/s.
+const MAX_BURST_BYTES: usize = 15_000;
+const BURST_INTERVAL: Duration = Duration::from_millis(20);
+/// Number of messages to the hosts of the zone that wait for their turn.
+const MAX_QUEUED_MESSAGES: usize = 100;
 /// Delay before the next receive after a failed one.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -73,6 +79,9 @@
     sent_at: Cell<BootTime>,
     // Messages sent to other zones, which their receivers get in turn.
     zone_messages: Cell<u64>,
+    // Messages to all hosts of the zone that have not been sent.
+    local_queue: RefCell<VecDeque<PeerMessage>>,
+    queued: Event,
     is_relay: Cell<bool>,
 }
 
@@ -109,6 +118,8 @@
             undigested: RefCell::new(BTreeMap::new()),
             sent_at: Cell::new(Duration::ZERO),
             zone_messages: Cell::new(0),
+            local_queue: RefCell::new(VecDeque::new()),
+            queued: Event::new(),
             is_relay: Cell::new(false),
         })
     }
@@ -141,7 +152,7 @@
             ..changes.clone()
         });
         self.send_to_zones(&receivers, &remote).await;
-        self.send_to_local(&PeerMessage::Changes(changes)).await;
+        self.queue_local(PeerMessage::Changes(changes));
     }
 
     /// Sends a heartbeat to each recipient and, if this host is the relay, a digest to each other zone.
@@ -201,23 +212,59 @@
         }
     }
 
-    async fn send_to_local(&self, message: &PeerMessage) {
-        let addresses = self.router.borrow().fleet.local_addresses();
-        for address in addresses {
-            self.send_to(address, message).await;
+    fn queue_local(&self, message: PeerMessage) {
+        let mut queue = self.local_queue.borrow_mut();
+        if queue.len() >= MAX_QUEUED_MESSAGES {
+            queue.pop_front();
+            warn!(self.logger, "forwarding queue full; oldest message dropped");
+        }
+        queue.push_back(message);
+        self.queued.notify(1);
+    }
+
+    /// Sends queued messages to all hosts of the zone until the process ends. Large ones are spread over time,
+    /// since callers' responses use the same link.
+    pub async fn run_forwarder(self: Rc<Self>) {
+        let mut burst_bytes = 0;
+        loop {
+            let queued = self.queued.listen();
+            let message = self.local_queue.borrow_mut().pop_front();
+            let Some(message) = message else {
+                queued.await;
+                continue;
+            };
+            let Some(datagram) = self.encode(&message) else {
+                continue;
+            };
+            let addresses = self.router.borrow().fleet.local_addresses();
+            for address in addresses {
+                self.send_datagram(address, datagram.clone()).await;
+                burst_bytes += datagram.len();
+                if burst_bytes >= MAX_BURST_BYTES {
+                    burst_bytes = 0;
+                    compio::time::sleep(BURST_INTERVAL).await;
+                }
+            }
         }
     }
 
     async fn send_to(&self, address: SocketAddr, message: &PeerMessage) {
-        let mut datagram = Vec::new();
-        if let Err(error) = ciborium::into_writer(message, &mut datagram) {
-            warn!(self.logger, "peer message not encoded"; "error" => error.to_string());
-            return;
+        if let Some(datagram) = self.encode(message) {
+            self.send_datagram(address, datagram).await;
         }
-        if datagram.len() > MAX_DATAGRAM_BYTES {
-            info!(self.logger, "peer message too large for a datagram"; "bytes" => datagram.len());
-            return;
+    }
+
+    fn encode(&self, message: &PeerMessage) -> Option<Vec<u8>> {
+        match datagram::encode(message) {
+            Ok(datagram) => Some(datagram),
+            Err(error) => {
+                warn!(self.logger, "peer message not sent"; "error" => error.to_string());
+                None
+            }
         }
+    }
+
+    async fn send_datagram(&self, address: SocketAddr, datagram: Vec<u8>) {
         let BufResult(result, _) = self.socket.send_to(datagram, address).await;
         if let Err(error) = result {
             debug!(self.logger, "peer message not sent";
@@ -240,12 +287,12 @@
                     continue;
                 }
             };
-            match ciborium::from_reader(datagram) {
+            match datagram::decode(datagram) {
                 Ok(PeerMessage::Heartbeat(heartbeat)) => self.handle_heartbeat(heartbeat),
-                Ok(PeerMessage::Digest(digest)) => self.handle_digest(digest).await,
-                Ok(PeerMessage::Changes(changes)) => self.handle_changes(changes).await,
+                Ok(PeerMessage::Digest(digest)) => self.handle_digest(digest),
+                Ok(PeerMessage::Changes(changes)) => self.handle_changes(changes),
                 Err(error) => {
-                    warn!(self.logger, "peer message not decoded; dropped"; "error" => error.to_string());
+                    warn!(self.logger, "peer message dropped"; "error" => error.to_string());
                 }
             }
         }
@@ -293,24 +340,22 @@
         org_limit(policy.organisations.get(organisation)?)
     }
 
-    async fn handle_changes(&self, changes: KindChanges) {
+    fn handle_changes(&self, changes: KindChanges) {
         if changes.to_forward {
-            let message = PeerMessage::Changes(KindChanges {
+            self.queue_local(PeerMessage::Changes(KindChanges {
                 to_forward: false,
                 ..changes.clone()
-            });
-            self.send_to_local(&message).await;
+            }));
         }
         self.follower.apply_forwarded(changes);
     }
 
-    async fn handle_digest(&self, digest: ZoneDigest) {
+    fn handle_digest(&self, digest: ZoneDigest) {
         if !digest.forwarded {
-            let message = PeerMessage::Digest(ZoneDigest {
+            self.queue_local(PeerMessage::Digest(ZoneDigest {
                 forwarded: true,
                 ..digest.clone()
-            });
-            self.send_to_local(&message).await;
+            }));
         }
         let now = boot_time();
         let limits = digest.limits.clone();
