gateway: test for the calls of a host that the store rejects

The failing case behind the spacing of failed calls: a host that missed a policy while its store watchers have it, and whose calls are rejected.

--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -2,13 +2,16 @@
 
 mod support;
 
-use fighall_core::{clock::boot_time, log::discarding_logger};
+use fighall_core::{clock::boot_time, log::discarding_logger, rendezvous};
 use fighall_gateway::{
+    fleet::relays::RELAY_KEY,
     follow::StoreFollower,
-    message::{FollowedKind, KindChanges},
+    message::{CopyStatus, FollowedKind, KindChanges, PeerHeartbeat},
     metrics::GatewayMetrics,
-    names, native,
+    names,
+    native::{self, MAIN_POLICY, POLICIES},
     policy_copy::PolicyCopy,
+    registry::HostEntry,
     router::RequestRouter,
     settings_status::SettingsStatus,
 };
@@ -17,9 +20,10 @@
     client::{ClientOptions, StoreClient},
     object::ObjectChange,
 };
-use fighall_testkit::{platform::PlatformStandIn, relay::FaultRelay};
+use fighall_testkit::{faults::StoreFaults, platform::PlatformStandIn, relay::FaultRelay};
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -212,3 +216,84 @@
         assert!(calls <= 1, "{calls} calls within 3 s");
     });
 }
+
+// Adds two live hosts that are picked as store watchers before the own host `h1` and have a later policy.
+fn add_store_watchers(router: &RefCell<RequestRouter>) -> Vec<String> {
+    let names = (2..).map(|number| format!("h{number}"));
+    let is_first = |name: &String| {
+        let pair = ["h1", name.as_str()];
+        *rendezvous::top(RELAY_KEY, &pair, 1, |host| host)[0] != "h1"
+    };
+    let watchers: Vec<_> = names.filter(is_first).take(2).collect();
+    for host in &watchers {
+        router.borrow_mut().fleet.register(HostEntry {
+            host: host.clone(),
+            incarnation: 1,
+            region: "lima".to_owned(),
+            zone: "lima-a".to_owned(),
+            callers: ([127, 0, 0, 1], 9).into(),
+            peers: ([127, 0, 0, 1], 9).into(),
+        });
+    }
+    watchers
+}
+
+fn heartbeat(host: &str, policy: u64) -> PeerHeartbeat {
+    PeerHeartbeat {
+        host: host.to_owned(),
+        incarnation: 1,
+        sent_us: u64::try_from(boot_time().as_micros()).expect("a small time"),
+        echo: None,
+        ready: true,
+        leaving: false,
+        copies: CopyStatus {
+            policy,
+            store_age_us: Some(0),
+            ..CopyStatus::default()
+        },
+        usages: Vec::new(),
+        demands: BTreeMap::new(),
+        limits: Vec::new(),
+    }
+}
+
+// Regression: a host whose calls the store rejected, and which had missed a policy, called it five times a
+// second, as each check ended the backoff. With a third of 295 hosts rejected for 9 s that made thousands of
+// billed calls.
+#[test]
+fn rejected_host_that_misses_a_policy_calls_the_store_about_once_a_second() {
+    run(async {
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let store = PlatformStandIn::start(loopback, 1).await.expect("a store");
+        let policy = serde_json::to_string(&support::policy(1)).expect("a policy");
+        store.put(POLICIES, MAIN_POLICY, &policy);
+        let (kernel, router) = new_kernel(store.address());
+        let follower = Rc::new(StoreFollower::new(&kernel).expect("a follower"));
+        compio::runtime::spawn(Rc::clone(&follower).run_checks()).detach();
+        compio::runtime::spawn(follower.follow(FollowedKind::Policy)).detach();
+        compio::time::sleep(Duration::from_millis(500)).await;
+        let watchers = add_store_watchers(&router);
+        store.set_faults(StoreFaults {
+            down: true,
+            ..StoreFaults::default()
+        });
+        // The policy is taken for stale 2.2 s after its last confirmation.
+        let mut before = 0;
+        for step in 0..40 {
+            if step == 15 {
+                before = store.calls();
+            }
+            for host in &watchers {
+                let message = heartbeat(host, 1_000);
+                router
+                    .borrow_mut()
+                    .fleet
+                    .apply_heartbeat(boot_time(), message);
+            }
+            compio::time::sleep(Duration::from_millis(200)).await;
+        }
+        let calls = store.calls() - before;
+        // At most one each 0.8 s within 5 s, and one more at either end.
+        assert!((2..=8).contains(&calls), "{calls} calls within 5 s");
+    });
+}
