gateway: demand in modules of its own, one record for each step of a watch

Cause: read as a newcomer, router.rs and fleet.rs had grown past one job, a step of a watch was logged and counted in two places, and some comments used words of their own. Change: demand moves to router/demands.rs and fleet/demands.rs; a step is recorded once, with the error of a failed call in the line store call (watch failed is gone); comments in the field's terms. No decision changes.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -101,8 +101,8 @@
 
 impl PlacementRefusal {
     /// Sets the time after which the caller may retry to `target_wait`, after which a target that is limited or
-    /// paused accepts a request, unless the refusal allows an earlier retry. [`Duration::MAX`] stands for no
-    /// such target.
+    /// paused accepts a request, unless the refusal allows an earlier retry. [`Duration::MAX`] means that there
+    /// is no such target.
     pub fn with_target_wait(mut self, target_wait: Duration) -> Self {
         if target_wait == Duration::MAX {
             return self;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,6 +6,7 @@
 //! also exchange heartbeats with all hosts of the region. Thus a host's messages grow with the size of its
 //! zone and the number of zones, and few messages leave a zone.
 
+pub mod demands;
 pub mod holders;
 pub mod peer;
 pub mod relays;
@@ -16,16 +17,14 @@
     registry::HostEntry,
     rollout::{self, FleetVersions},
 };
-use fighall_core::ids::{
-    BootTime, HostId, Incarnation, OrgId, RegionId, ServiceId, Version, ZoneId,
-};
+use fighall_core::ids::{BootTime, HostId, Incarnation, OrgId, RegionId, Version, ZoneId};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 /// Time without a heartbeat after which a host of the own zone counts as dead: four heartbeats, and well
 /// below the time within which the directory has to drop it.
 pub const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1_700);
 /// Time without a heartbeat after which a host of another zone counts as dead: it covers the time that the
-/// zone's hosts take to detect the failure of their relay and to replace it.
+/// zone's hosts need to detect the failure of their relay and to replace it.
 pub const REMOTE_LIVENESS_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Time without a digest of a zone's relay after which digests of another relay of the zone are accepted.
 const RELAY_LIVENESS_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -269,59 +268,6 @@
         names
     }
 
-    /// Sums the demand of each organisation at all other live hosts, in requests per second.
-    pub fn org_demands(&self, now: BootTime) -> BTreeMap<OrgId, f64> {
-        let mut demands = self.local_org_demands(now);
-        for view in self.live_views(now) {
-            for (organisation, demand) in &view.demands {
-                *demands.entry(organisation.clone()).or_default() += f64::from(*demand);
-            }
-        }
-        demands
-    }
-
-    /// Sums the demand of each organisation at the other live hosts of the own zone.
-    pub fn local_org_demands(&self, now: BootTime) -> BTreeMap<OrgId, f64> {
-        let mut demands: BTreeMap<OrgId, f64> = BTreeMap::new();
-        for peer in self.live_local_peers(now) {
-            for usage in peer
-                .heartbeat
-                .iter()
-                .flat_map(|heartbeat| &heartbeat.usages)
-            {
-                let demand = demands.entry(usage.organisation.clone()).or_default();
-                *demand += f64::from(usage.demand);
-            }
-        }
-        demands
-    }
-
-    /// Lists the requests in flight by service at each other host of the own zone; `None` for a host without a
-    /// measurement.
-    pub fn local_demands(&self, now: BootTime) -> impl Iterator<Item = (&ServiceId, Option<f64>)> {
-        let peers = self.live_local_peers(now);
-        let heartbeats = peers.filter_map(|peer| peer.heartbeat.as_ref());
-        let demands = heartbeats.flat_map(|heartbeat| &heartbeat.demands);
-        demands.map(|(service, demand)| (service, demand.map(f64::from)))
-    }
-
-    /// Lists the requests in flight for a service in each other zone that serves it, by region; `None` for a
-    /// zone without a measurement.
-    pub fn zone_demands(
-        &self,
-        now: BootTime,
-        service: &str,
-    ) -> BTreeMap<RegionId, Vec<Option<f64>>> {
-        let mut demands: BTreeMap<RegionId, Vec<Option<f64>>> = BTreeMap::new();
-        for view in self.live_views(now) {
-            if let Some(demand) = view.digest.demands.get(service) {
-                let zones = demands.entry(view.digest.region.clone()).or_default();
-                zones.push(demand.map(f64::from));
-            }
-        }
-        demands
-    }
-
     fn live_views(&self, now: BootTime) -> impl Iterator<Item = &ZoneView> {
         self.zones.values().filter(move |view| view.is_live(now))
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -225,14 +225,10 @@
                 }
             };
             state.call_started_at.set(None);
-            self.log_step(
-                &name,
-                wait,
-                boot_time().saturating_sub(started_at),
-                step.as_ref(),
-            );
+            let elapsed = boot_time().saturating_sub(started_at);
+            self.record_step(&name, wait, elapsed, step.as_ref());
             match step {
-                None => self.count_step(&name, "restarted"),
+                None => {}
                 Some(Ok(step)) => {
                     if kind == FollowedKind::Policy && backoff > RETRY_BACKOFF.0 {
                         self.wake_all();
@@ -241,16 +237,13 @@
                     state.failed_at.set(None);
                     state.succeeded_at.set(Some(boot_time()));
                     self.update_store_unreachable();
-                    self.count_step(&name, "answered");
                     let delay = self.next_call_delay(kind, &step);
                     self.apply_step(kind, state, step, started_at, wait);
                     compio::time::sleep(delay).await;
                 }
-                Some(Err(error)) => {
+                Some(Err(_)) => {
                     state.failed_at.set(Some(boot_time()));
                     self.update_store_unreachable();
-                    self.count_step(&name, "failed");
-                    info!(self.logger, "watch failed"; "kind" => &name, "error" => error.to_string());
                     let woken = state.wake.listen();
                     let jittered = backoff.mul_f64(0.5 + fastrand::f64() / 2.0);
                     let _ = compio::time::timeout(jittered, woken).await;
@@ -357,26 +350,27 @@
         }
     }
 
-    // Every call is billed, and hosts that rely on store watchers make few.
-    fn log_step(
+    // Logs and counts a step. Every call is billed, and hosts that rely on store watchers make few.
+    fn record_step(
         &self,
         kind: &str,
         wait: Duration,
         elapsed: Duration,
         step: Option<&Result<WatchStep, StoreError>>,
     ) {
-        let (outcome, objects) = match step {
-            None => ("restarted", 0),
-            Some(Err(_)) => ("failed", 0),
-            Some(Ok(WatchStep::Listed { list, .. })) => ("listed", list.objects.len()),
-            Some(Ok(WatchStep::Changed { changes, .. })) => ("watched", changes.len()),
+        let (label, outcome, objects) = match step {
+            None => ("restarted", "restarted".to_owned(), 0),
+            Some(Err(error)) => ("failed", format!("failed: {error}"), 0),
+            Some(Ok(WatchStep::Listed { list, .. })) => {
+                ("answered", "listed".to_owned(), list.objects.len())
+            }
+            Some(Ok(WatchStep::Changed { changes, .. })) => {
+                ("answered", "watched".to_owned(), changes.len())
+            }
         };
+        let labels = [kind, label];
+        self.metrics.watch_steps.with_label_values(&labels).inc();
         info!(self.logger, "store call"; "kind" => kind, "outcome" => outcome, "objects" => objects,
             "wait_ms" => wait.as_millis(), "held_ms" => elapsed.as_millis());
     }
-
-    fn count_step(&self, kind: &str, outcome: &str) {
-        let labels = [kind, outcome];
-        self.metrics.watch_steps.with_label_values(&labels).inc();
-    }
 }
--- a/crates/gateway/src/follow/forwarding.rs
+++ b/crates/gateway/src/follow/forwarding.rs
@@ -18,8 +18,8 @@
 
 /// Bytes of values in one forwarded message, before compression: a lost one costs few changes.
 const MAX_FORWARDED_BYTES: usize = 40_000;
-/// Time after the start for which a host holds changes back: hosts that start together each take themselves
-/// for a store watcher until they have received the heartbeats of the others.
+/// Time after the start for which a host holds changes back: hosts that start together each consider
+/// themselves a store watcher until they have received the heartbeats of the others.
 const FORWARDING_GRACE: Duration = Duration::from_millis(1_200);
 
 impl StoreFollower {
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -147,7 +147,7 @@
         }
         let above_low = bucket.tokens >= low_tokens.max(1.0);
         let has_tokens = bucket.tokens >= 1.0 - limit.burst * MAX_OVERDRAFT;
-        let is_admitted = above_low || has_tokens && bucket.take_fair(limit, own_share, draw);
+        let is_admitted = above_low || has_tokens && bucket.use_fair_token(limit, own_share, draw);
         if !is_admitted {
             let wait_seconds = (1.0 - bucket.fair_tokens).max(0.1)
                 / (limit.rate * live_fraction * own_share).max(0.01);
@@ -301,10 +301,10 @@
             (self.fair_tokens + elapsed * rate * own_share).min(max_fair_tokens(limit, own_share));
     }
 
-    // Takes a token of the fair share. `draw` is a random number from 0 to 1. Where the share cannot hold a
-    // whole token, what there is of one is the chance to get it: tokens rounded up at hundreds of hosts
-    // would exceed the limit many times.
-    fn take_fair(&mut self, limit: &OrgLimit, own_share: f64, draw: f64) -> bool {
+    // Uses a token of the fair share. `draw` is a random number from 0 to 1. If the share is too small to hold a
+    // token, the fraction that it holds is the probability of admission: rounded up to one token at each of
+    // hundreds of hosts, shares would exceed the limit many times.
+    fn use_fair_token(&mut self, limit: &OrgLimit, own_share: f64, draw: f64) -> bool {
         if self.fair_tokens >= 1.0 {
             self.fair_tokens -= 1.0;
             return true;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -151,7 +151,8 @@
 }
 
 message! {
-    /// `LimitClaim` is what a host, or an availability zone, knows and claims of the rate limit that a target names.
+    /// `LimitClaim` is what a host, or an availability zone, reports of the rate limit that a
+    /// target names, and its claim on it.
     pub struct LimitClaim {
         /// Name of the target.
         #[serde(rename = "n")]
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -41,7 +41,7 @@
 /// Interval of the checks for changes to forward and for admissions to report before a heartbeat is due.
 const SEND_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Bytes that are sent to the hosts of the zone at once, and the interval before the next ones. Together they
-/// take half of a link of 12 Mbit/s.
+/// use half of a link of 12 Mbit/s.
 const MAX_BURST_BYTES: usize = 15_000;
 const BURST_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of messages to the hosts of the zone that wait for their turn.
@@ -195,7 +195,7 @@
         }
     }
 
-    // Sends a message to one of the receivers of each zone; the next message goes to the next receiver.
+    // Sends a message to one of the receivers of each zone, to each in turn.
     async fn send_to_zones(
         &self,
         receivers: &BTreeMap<ZoneId, Vec<SocketAddr>>,
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -14,8 +14,8 @@
 /// Versions in force by availability zone.
 pub type FleetVersions = BTreeMap<ZoneId, ZoneVersions>;
 
-/// Summarises what the hosts of a zone report. `highest_policy` is the highest policy number in the fleet, as
-/// far as this host is aware of it.
+/// Summarises what the hosts of a zone report. `highest_policy` is the highest policy number in the fleet that
+/// this host is aware of.
 pub fn summarise(hosts: &[CopyStatus], highest_policy: u64) -> ZoneVersions {
     let lowest = |version: fn(&CopyStatus) -> u64| hosts.iter().map(version).min().unwrap_or(0);
     let mut versions = ZoneVersions {
@@ -73,8 +73,8 @@
 }
 
 impl RolloutTracker {
-    /// Updates the state with the versions that are known of all zones, and returns what has been completed
-    /// since. `own` is what this host has in force.
+    /// Updates the state with the versions that all zones report, and returns the rollouts that have been
+    /// completed since. `own` is what this host has in force.
     pub fn update(
         &mut self,
         now: BootTime,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -101,8 +101,8 @@
         now < self.warmup_until
     }
 
-    /// Records that the target announced in a response that it is leaving. Returns whether this was not
-    /// known before.
+    /// Records that the target announced in a response that it is leaving. Returns whether this is
+    /// new.
     pub fn record_leaving(&mut self) -> bool {
         let is_new = !self.is_leaving();
         self.announced_leaving = true;
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -1,12 +1,13 @@
 //! Routing decisions: admission, traffic splits, retries and the target of each attempt, with the
 //! state that they depend on. No I/O; the current time is an argument.
 
+pub mod demands;
 pub mod limits;
 pub mod outcomes;
 
 use crate::{
     decision::{OwnHost, PlacementQuery, PlacementRefusal, TargetPlacement},
-    demand::{self, ServiceDemand},
+    demand::ServiceDemand,
     fleet::FleetTable,
     limit::{FleetLimiter, OrgLimit},
     placement::{self, CONSIDERED_TARGETS, PlacementOption, WeightedTarget, WorkEstimate},
@@ -316,50 +317,6 @@
         measured.unwrap_or(DEFAULT_ROUND_TRIPS.2)
     }
 
-    /// Gets this host's average number of requests in flight by service, for peers. The value is
-    /// absent while the average of a service is not reliable yet.
-    pub fn own_demands(&self, now: BootTime) -> BTreeMap<ServiceId, Option<f64>> {
-        let mut demands = BTreeMap::new();
-        for (service, demand) in &self.demands {
-            demands.insert(service.clone(), demand.average(now));
-        }
-        demands
-    }
-
-    /// Estimates the requests in flight at all hosts of this host's zone, by service. The value is absent
-    /// while none of them has measured its own.
-    pub fn zone_demands(&self, now: BootTime) -> BTreeMap<ServiceId, Option<f64>> {
-        let mut hosts: BTreeMap<ServiceId, Vec<Option<f64>>> = BTreeMap::new();
-        for (service, demand) in self.own_demands(now) {
-            hosts.entry(service).or_default().push(demand);
-        }
-        for (service, demand) in self.fleet.local_demands(now) {
-            hosts.entry(service.clone()).or_default().push(demand);
-        }
-        let mut demands = BTreeMap::new();
-        for (service, hosts) in hosts {
-            demands.insert(service, demand::estimate_demand(&hosts));
-        }
-        demands
-    }
-
-    // Estimates the requests in flight for a service by region. A region of which no zone has a measurement
-    // is left out.
-    fn region_demands(&self, now: BootTime, service: &str) -> BTreeMap<RegionId, f64> {
-        let mut regions = self.fleet.zone_demands(now, service);
-        if let Some(demand) = self.zone_demands(now).get(service) {
-            let own_region = regions.entry(self.own_host.region.clone()).or_default();
-            own_region.push(*demand);
-        }
-        let mut demands = BTreeMap::new();
-        for (region, zones) in regions {
-            if let Some(demand) = demand::estimate_demand(&zones) {
-                demands.insert(region, demand);
-            }
-        }
-        demands
-    }
-
     /// Updates what depends on the time: averages, spillover and expired entries. Returns the names
     /// of the targets that were dropped.
     pub fn tick(&mut self, now: BootTime, policy: &TrafficPolicy) -> Vec<TargetId> {
--- a/crates/gateway/src/router/outcomes.rs
+++ b/crates/gateway/src/router/outcomes.rs
@@ -90,7 +90,7 @@
     }
 
     /// Records that a target announced with a response that it is leaving, or that it accepts no requests of
-    /// this host for some time. Returns what was not known before.
+    /// this host for some time. Returns what is new.
     pub fn record_notices(
         &mut self,
         now: BootTime,
--- a/crates/gateway/src/target_pause.rs
+++ b/crates/gateway/src/target_pause.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, header::RETRY_AFTER};
 use std::time::Duration;
 
-/// Longest pause that is kept to, so that a mistaken value does not take a target out of use for good.
+/// Longest pause that is respected, so that a mistaken value does not exclude a target permanently.
 const MAX_PAUSE: Duration = Duration::from_secs(3_600);
 
 /// Reads `Retry-After` as seconds, with or without a fraction. Other values, such as dates, are ignored.
--- a/crates/gateway/tests/datagram.rs
+++ b/crates/gateway/tests/datagram.rs
@@ -67,7 +67,7 @@
     ] {
         assert!(decode(datagram).is_err(), "{datagram:?}");
     }
-    // Some kilobytes that would take gigabytes when decompressed.
+    // Some kilobytes that decompress to 20 MB.
     let mut encoder = DeflateEncoder::new(vec![0], Compression::best());
     for _ in 0..200 {
         encoder.write_all(&[0; 100_000]).expect("in memory");
--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -95,7 +95,7 @@
     let path = write_settings("changes.json", &text);
     let child = start(&path);
     std::thread::sleep(Duration::from_millis(600));
-    // Twenty changes within a second, the last of them half written and then cut short for good.
+    // Twenty changes within a second, each incomplete at first, and then a file that stays truncated.
     for number in 0..20 {
         let changed = text.replace("drain=2500", &format!("drain={}", 1_700 + number));
         write_settings("changes.json", &changed[..changed.len() / 2]);
--- a/crates/gateway/tests/rollout.rs
+++ b/crates/gateway/tests/rollout.rs
@@ -107,7 +107,7 @@
     lines.map(str::to_owned).collect()
 }
 
-// The metrics of any host tell which policy all hosts of each zone have.
+// The metrics of any host show which policy all hosts of each zone have.
 #[test]
 fn metrics_of_one_host_show_the_versions_of_all_zones() {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -228,7 +228,7 @@
 }
 
 // Regression: the store's entry of a target that had announced its leaving in a response still said that it
-// was ready, and the host went on sending to it.
+// was ready, and the host continued to send to it.
 #[test]
 fn announced_leaving_outlives_entries_that_say_ready_but_not_the_incarnation() {
     let mut roster = roster();
--- a/crates/gateway/tests/starting.rs
+++ b/crates/gateway/tests/starting.rs
@@ -45,7 +45,7 @@
     count
 }
 
-// Regression: each starting host took itself for a store watcher, because it knew no other host yet, and
+// Regression: each starting host considered itself a store watcher, because it was aware of no other host, and
 // forwarded what its first call returned to all hosts of its region. With 98 hosts a region that made 1.4 GB
 // in the first second, which every host also reads from the store itself.
 #[test]
--- a/crates/gateway/tests/target_notices.rs
+++ b/crates/gateway/tests/target_notices.rs
@@ -90,7 +90,7 @@
     });
 }
 
-// Regression: requests that no target accepts until a known time must not wait for it.
+// A request that no target accepts before a certain time must not wait for that time.
 #[test]
 fn request_that_all_targets_refuse_for_a_time_is_refused_at_once_with_that_time() {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
--- a/crates/gateway/tests/zones.rs
+++ b/crates/gateway/tests/zones.rs
@@ -169,7 +169,7 @@
     assert!(!fleet.has_live_store_watcher(seconds(13), "host-0", bound));
 }
 
-// A host that gets heartbeats answers them, even if it takes others for the store watchers: without its echo the
+// A host that receives heartbeats answers them, even if it considers others the store watchers: without its echo the
 // sender could not confirm the policy for it.
 #[test]
 fn heartbeats_of_another_zone_are_answered() {
