gateway: the test of the zones' metrics waits for all hosts

The metrics were right. Change: the test waits, within the same 6 s, until both hosts of each zone are live and have the policy, and asserts what it did before; it is stricter by the number of hosts.

--- a/crates/gateway/tests/rollout.rs
+++ b/crates/gateway/tests/rollout.rs
@@ -127,14 +127,21 @@
         fleet.publish(|_| {}).await;
         fleet.publish(|_| {}).await;
         let started_at = boot_time();
-        let expected = [
+        let policies = [
             "fighall_zone_policy_version{zone=\"lima-a\"} 2",
             "fighall_zone_policy_version{zone=\"lima-b\"} 2",
         ];
-        while metric(address, "fighall_zone_policy_version").await != expected {
+        let hosts = [
+            "fighall_zone_hosts{zone=\"lima-a\"} 2",
+            "fighall_zone_hosts{zone=\"lima-b\"} 2",
+        ];
+        // A zone is summarised by its live hosts, so all of them have to be live first.
+        while metric(address, "fighall_zone_hosts{").await != hosts
+            || metric(address, "fighall_zone_policy_version").await != policies
+        {
             assert!(
                 boot_time() - started_at < seconds(6),
-                "the policy did not reach both zones"
+                "the policy did not reach all hosts of both zones"
             );
             compio::time::sleep(Duration::from_millis(100)).await;
         }
