gateway: log and count the retries that the budget permits

Cause: the logs showed which retries the budget refused, but a permitted one only as a second attempt, so that a retry that arrives late, or one that skips the budget, looked the same as a permitted one. Change: a line `retry` beside `no retry`, with the attempt and the state of the budget, and the metric fighall_retries_total by service and outcome.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,8 @@
     pub attempts: IntCounterVec,
     /// Seconds from sending an attempt to its outcome, by service.
     pub attempt_latency: HistogramVec,
+    /// Retries by service and by whether the budget permitted them: `permitted` or `refused`.
+    pub retries: IntCounterVec,
     /// Steps of store watches by object kind and outcome.
     pub watch_steps: IntCounterVec,
     /// Version of the traffic policy in force.
@@ -87,6 +89,11 @@
                 "Time at targets",
                 &["service"],
             )?,
+            retries: counter_vec(
+                "fighall_retries_total",
+                "Retries permitted or refused by the budget",
+                &["service", "outcome"],
+            )?,
             watch_steps: counter_vec(
                 "fighall_watch_steps_total",
                 "Steps of watches of the store",
@@ -125,6 +132,12 @@
         latency.observe(elapsed.as_secs_f64());
     }
 
+    /// Counts a retry that the budget of a service permitted or refused.
+    pub fn count_retry(&self, service: &str, permitted: bool) {
+        let outcome = if permitted { "permitted" } else { "refused" };
+        self.retries.with_label_values(&[service, outcome]).inc();
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -333,13 +333,18 @@
         }
         let service = &request.service.name;
         let is_within_budget = self.router.borrow_mut().take_retry(now, service);
-        if !is_within_budget {
-            info!(self.logger, "no retry";
-                "request" => &request.prepared.id,
-                "service" => service,
-                "budget" => self.router.borrow().describe_retries(now, service),
-            );
-        }
+        let message = if is_within_budget {
+            "retry"
+        } else {
+            "no retry"
+        };
+        info!(self.logger, "{}", message;
+            "request" => &request.prepared.id,
+            "service" => service,
+            "attempt" => record.sent + 1,
+            "budget" => self.router.borrow().describe_retries(now, service),
+        );
+        self.metrics.count_retry(service, is_within_budget);
         is_within_budget
     }
 }
