gateway: failing tests of retry budgets by what targets receive

Cause: the tests of the fleet's retry budget played failures from the first request on, counted retries when hosts permit them, and spread requests evenly over all hosts. Change: the simulated fleet has a calm, callers that move, traffic that falls, requests that reach hosts late and retries that reach targets late (5 s together at most, half a window).

--- a/crates/gateway/tests/retry_budgets.rs
+++ b/crates/gateway/tests/retry_budgets.rs
@@ -1,4 +1,5 @@
-//! Retry budgets of all hosts together, while hosts are killed, leave, join and are aware of each other late.
+//! Retry budgets of all hosts together, by what targets receive, while hosts are killed, leave, join and are aware of
+//! each other late, callers move, traffic falls, and requests and retries are held up.
 
 use fighall_gateway::{
     decision::OwnHost, registry::HostEntry, roster::TargetRoster, router::RequestRouter,
@@ -19,12 +20,15 @@
 const ATTEMPTS: u32 = 4;
 /// Longest time after which a host is aware of a change of the registered hosts.
 const MAX_STORE_DELAY_MS: u64 = 1_500;
+/// Longest time for which the network holds up a request to a host or a retry to a target, both together.
+const MAX_HOLD: Duration = Duration::from_secs(5);
 /// Time between the start of the hosts and that of the traffic.
 const LEAD: Duration = Duration::from_secs(8);
 
 enum Event {
     Registered(usize, usize),
     Unregistered(usize, usize),
+    Request(usize),
 }
 
 struct SimulatedHost {
@@ -39,6 +43,14 @@
     events: BTreeMap<(Duration, u64), Event>,
     event_count: u64,
     due_requests: f64,
+    // Hosts to which callers send, by number.
+    callers_use: std::ops::Range<usize>,
+    // Fraction of the requests of which all attempts fail.
+    failing: f64,
+    // Times until which the network holds up requests to hosts and retries to targets.
+    requests_held_until: Duration,
+    retries_held_until: Duration,
+    // Times at which callers sent requests, and at which targets received retries.
     requests: Vec<Duration>,
     retries: Vec<Duration>,
     rng: fastrand::Rng,
@@ -97,6 +109,10 @@
             events: BTreeMap::new(),
             event_count: 0,
             due_requests: 0.0,
+            callers_use: 0..count,
+            failing: 1.0,
+            requests_held_until: Duration::ZERO,
+            retries_held_until: Duration::ZERO,
             requests: Vec::new(),
             retries: Vec::new(),
             rng: fastrand::Rng::with_seed(seed),
@@ -167,30 +183,46 @@
                 Event::Unregistered(to, number) => {
                     self.hosts[to].router.fleet.unregister(&name_of(number));
                 }
+                Event::Request(number) => self.handle_request(number),
             }
         }
     }
 
-    // Sends a request to a running host. All its attempts fail.
+    // Sends a request to a running host.
     fn send_request(&mut self) {
-        let number = self.rng.usize(..self.hosts.len());
+        let number = self.rng.usize(self.callers_use.clone());
+        if !self.hosts[number].running {
+            return;
+        }
+        self.requests.push(self.now);
+        if self.requests_held_until > self.now {
+            self.event_count += 1;
+            let key = (self.requests_held_until, self.event_count);
+            self.events.insert(key, Event::Request(number));
+            return;
+        }
+        self.handle_request(number);
+    }
+
+    fn handle_request(&mut self, number: usize) {
+        let is_failing = self.rng.f64() < self.failing;
         let host = &mut self.hosts[number];
         if !host.running {
             return;
         }
-        self.requests.push(self.now);
         host.router.start_request(self.now, SERVICE);
         for _ in 1..ATTEMPTS {
-            if !host.router.take_retry(self.now, SERVICE) {
+            if !is_failing || !host.router.take_retry(self.now, SERVICE) {
                 break;
             }
-            self.retries.push(self.now);
+            self.retries.push(self.now.max(self.retries_held_until));
         }
         host.router.end_request(SERVICE);
     }
 
     // Describes the window with the largest excess over the budget, if there is one.
-    fn excess(&self) -> Option<String> {
+    fn excess(&mut self) -> Option<String> {
+        self.retries.sort_unstable();
         let count = |times: &[Duration], start: Duration| {
             let first = times.partition_point(|at| *at < start);
             times.partition_point(|at| *at < start + WINDOW) - first
@@ -299,3 +331,116 @@
     }
     assert!(findings.is_empty(), "{findings:#?}");
 }
+
+fn play_restarts_after_calm(hosts: usize) {
+    let mut fleet = RetryFleet::new(hosts, 3);
+    fleet.failing = 0.0;
+    fleet.run(360.0, Duration::from_secs(12));
+    fleet.failing = 0.9;
+    fleet.run(360.0, Duration::from_secs(2));
+    for number in 0..hosts {
+        fleet.kill(number);
+    }
+    fleet.run(360.0, Duration::from_millis(500));
+    for number in 0..hosts {
+        fleet.start(number);
+    }
+    fleet.run(360.0, Duration::from_secs(8));
+    assert_eq!(fleet.excess(), None);
+}
+
+#[test]
+fn restarts_after_a_calm_do_not_exceed_the_retry_budget_at_9_hosts() {
+    play_restarts_after_calm(9);
+}
+
+#[test]
+fn restarts_after_a_calm_do_not_exceed_the_retry_budget_at_80_hosts() {
+    play_restarts_after_calm(80);
+}
+
+#[test]
+fn restarts_after_a_calm_do_not_exceed_the_retry_budget_at_300_hosts() {
+    play_restarts_after_calm(300);
+}
+
+fn play_moving_callers(hosts: usize) {
+    let mut fleet = RetryFleet::new(hosts, 4);
+    fleet.failing = 0.0;
+    fleet.callers_use = 0..hosts / 2;
+    fleet.run(700.0, Duration::from_secs(12));
+    fleet.failing = 0.9;
+    fleet.run(700.0, Duration::from_secs(2));
+    fleet.callers_use = hosts / 2..hosts;
+    fleet.run(700.0, Duration::from_secs(9));
+    assert_eq!(fleet.excess(), None);
+}
+
+#[test]
+fn callers_that_move_do_not_exceed_the_retry_budget_at_9_hosts() {
+    play_moving_callers(9);
+}
+
+#[test]
+fn callers_that_move_do_not_exceed_the_retry_budget_at_80_hosts() {
+    play_moving_callers(80);
+}
+
+#[test]
+fn callers_that_move_do_not_exceed_the_retry_budget_at_300_hosts() {
+    play_moving_callers(300);
+}
+
+#[test]
+fn retries_that_a_cut_holds_up_do_not_exceed_the_retry_budget() {
+    let mut fleet = RetryFleet::new(12, 5);
+    fleet.run(700.0, Duration::from_secs(12));
+    fleet.retries_held_until = fleet.now + MAX_HOLD;
+    fleet.run(700.0, Duration::from_secs(15));
+    assert_eq!(fleet.excess(), None);
+}
+
+#[test]
+fn falling_traffic_does_not_exceed_the_retry_budget() {
+    let mut fleet = RetryFleet::new(12, 6);
+    fleet.failing = 0.0;
+    fleet.run(700.0, Duration::from_secs(2));
+    fleet.run(0.0, Duration::from_secs(8));
+    fleet.failing = 1.0;
+    fleet.run(700.0, Duration::from_secs(2));
+    fleet.run(20.0, Duration::from_secs(10));
+    assert_eq!(fleet.excess(), None);
+}
+
+#[test]
+fn retry_budget_holds_for_what_targets_receive() {
+    let mut findings = Vec::new();
+    for seed in 0..150_u64 {
+        let hosts = [3, 9, 12, 80, 300][usize::try_from(seed % 5).expect("a small number")];
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut fleet = RetryFleet::new(hosts, seed);
+        let rate = f64::from(rng.u32(50..800));
+        for _ in 0..8 {
+            let first = rng.usize(..hosts);
+            let affected = first..rng.usize(first..hosts) + 1;
+            match rng.u32(..6) {
+                0 => affected.for_each(|number| fleet.kill(number)),
+                1 => affected.for_each(|number| fleet.leave(number)),
+                2 => (0..hosts).for_each(|number| fleet.start(number)),
+                3 => fleet.callers_use = affected,
+                4 => fleet.requests_held_until = fleet.now + hold(&mut rng),
+                _ => fleet.retries_held_until = fleet.now + hold(&mut rng),
+            }
+            fleet.failing = [0.0, 0.3, 1.0][rng.usize(..3)];
+            let load = rate * [0.05, 1.0, 2.0][rng.usize(..3)];
+            fleet.run(load, Duration::from_millis(rng.u64(200..8_000)));
+        }
+        let excess = fleet.excess();
+        findings.extend(excess.map(|text| format!("seed {seed}, {hosts} hosts: {text}")));
+    }
+    assert!(findings.is_empty(), "{findings:#?}");
+}
+
+fn hold(rng: &mut fastrand::Rng) -> Duration {
+    MAX_HOLD.mul_f64(rng.f64() / 2.0)
+}
