gateway: retry budgets whose sum holds for what targets receive

Callers saw targets that reject requests retried beyond the allowance (BUDGET, katalog, 970 of 941 in 10 s). Cause: a host's budget counted the requests of the last 1.1 windows. After a calm it permits 0.16 of a window's requests at once; a process that starts then, or a host to which callers move, earns the same again from the requests that follow. Each host keeps its budget, the sum does not. Evidence: with permitted retries logged, 608 before the kill and 366 after it in one window, none late, none outside the budget. What arrives in one window is then paid for by the requests of two windows at most, also with 5 s of delay.

--- a/crates/gateway/src/router/retries.rs
+++ b/crates/gateway/src/router/retries.rs
@@ -4,9 +4,10 @@
 use crate::retry::RetryOptions;
 use fighall_core::ids::BootTime;
 
-/// Fraction of the permitted retries that is used, because targets count arrivals later than this host
-/// does.
-const RETRY_BUDGET_FRACTION: f64 = 0.8;
+/// Fraction of the permitted retries that is used. Retries that arrive within one window may be paid for by requests of
+/// two: those of the window itself, and those before it, as additions to the budget expire only later and the network
+/// may hold up requests and retries.
+const RETRY_BUDGET_FRACTION: f64 = 0.5;
 
 impl RequestRouter {
     /// Takes a retry from the budget of a service. Returns false when the budget is used up.
@@ -21,7 +22,7 @@
     pub fn describe_retries(&self, now: BootTime, service: &str) -> String {
         let budget = self.retry_budgets.get(service);
         budget.map_or_else(String::new, |budget| {
-            budget.describe(&self.retry_options(now))
+            budget.describe(now, &self.retry_options(now))
         })
     }
 
