--- a/crates/testkit/src/relay.rs
+++ b/crates/testkit/src/relay.rs
@@ -1,15 +1,17 @@
 //! A relay of TCP connections whose faults are set from outside: a delay, bytes held back in one
-//! direction or both, connections reset, and open connections gone silent for good, as a middlebox
-//! that has lost track of them would leave them.
+//! direction or both, connections reset, open connections gone silent for good, as a middlebox that has lost
+//! track of them would leave them, and new connections refused or never opened.
 
 use compio::{
     BufResult,
     io::{AsyncRead, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    runtime::JoinHandle,
 };
 use event_listener::Event;
 use fighall_core::value;
 use futures_util::{FutureExt, pin_mut, select_biased};
+use socket2::{Domain, Socket, Type};
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -21,6 +23,10 @@
 const CHUNK: usize = 16 * 1_024;
 /// Interval at which held bytes look for the end of the fault.
 const HOLD_STEP: Duration = Duration::from_millis(20);
+/// Time within which a cancelled accept has closed its listener.
+const CLOSE_TIME: Duration = Duration::from_millis(30);
+/// Connections that fill the queue of a listener with a backlog of 0.
+const QUEUE_FILL: usize = 2;
 
 value! {
     /// `RelayFaults` is what a relay does wrong until it is told otherwise.
@@ -56,6 +62,8 @@
 pub struct FaultRelay {
     address: SocketAddr,
     state: Rc<RelayState>,
+    accept_task: RefCell<Option<JoinHandle<()>>>,
+    full_queue: RefCell<Vec<Socket>>,
 }
 
 impl FaultRelay {
@@ -69,8 +77,13 @@
         let address = listener.local_addr()?;
         let state = Rc::new(RelayState::default());
         state.target.replace(target);
-        compio::runtime::spawn(accept(listener, Rc::clone(&state))).detach();
-        Ok(Self { address, state })
+        let accept_task = compio::runtime::spawn(accept(listener, Rc::clone(&state)));
+        Ok(Self {
+            address,
+            state,
+            accept_task: RefCell::new(Some(accept_task)),
+            full_queue: RefCell::default(),
+        })
     }
 
     /// Gets the relay's address.
@@ -99,6 +112,50 @@
         self.state.changed.notify(usize::MAX);
     }
 
+    /// Refuses new connections; open ones go on.
+    pub async fn refuse_new(&self) {
+        self.full_queue.borrow_mut().clear();
+        self.accept_task.borrow_mut().take();
+        compio::time::sleep(CLOSE_TIME).await;
+    }
+
+    /// Lets new connections hang before they open; open ones go on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a socket.
+    pub async fn hang_new(&self) -> std::io::Result<()> {
+        self.refuse_new().await;
+        let address = self.address.into();
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        listener.set_reuse_address(true)?;
+        listener.bind(&address)?;
+        listener.listen(0)?;
+        let mut sockets = vec![listener];
+        for _ in 0..QUEUE_FILL {
+            let filler = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+            filler.set_nonblocking(true)?;
+            // The connection is opened, or hangs, without the socket.
+            let _ = filler.connect(&address);
+            sockets.push(filler);
+        }
+        self.full_queue.replace(sockets);
+        Ok(())
+    }
+
+    /// Accepts new connections again.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the relay's address.
+    pub async fn accept_new(&self) -> std::io::Result<()> {
+        self.refuse_new().await;
+        let listener = TcpListener::bind(self.address).await?;
+        let accept_task = compio::runtime::spawn(accept(listener, Rc::clone(&self.state)));
+        self.accept_task.replace(Some(accept_task));
+        Ok(())
+    }
+
     /// Resets all open connections; new ones work.
     pub fn reset(&self) {
         self.state.reset_before.set(self.state.accepted.get() + 1);
