gateway: hosts that reach no target leave the look-ups

Cause: each target was ejected by itself; no host concluded from all of them that the fault is its own, so it stayed in every look-up, and each request waited for connections that time out. Change: two targets that fail without a connection opened in between make a host probe up to six targets of all zones, untested ones first. If none is reached, its heartbeats and the digest of its zone say so at once; look-ups leave such hosts out unless all hosts are such; the host refuses what it cannot serve while others can, closes the connection after the response, and holds reports of ended targets back until probes tell whose fault it is. It probes on and returns after two rounds in a row that reach a target.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -5,7 +5,7 @@
     ids::{BootTime, RegionId},
     rendezvous, value,
 };
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 /// Maximum number of addresses in a look-up response.
 const MAX_ADDRESSES: usize = 64;
@@ -42,37 +42,33 @@
         pub callers: SocketAddr,
         /// Whether the host accepts callers.
         pub accepts_callers: bool,
+        /// Whether the host reaches no target.
+        pub targets_unreachable: bool,
     }
 }
 
 /// Selects the addresses for a caller: all hosts of its region that accept callers or, without any, those
-/// of all regions. Above the maximum number, rendezvous hashing by the caller's availability zone picks.
+/// of all regions. Hosts that reach no target are left out unless that is so for all. Above the maximum number,
+/// rendezvous hashing by the caller's availability zone picks.
 pub fn select_addresses(
     fleet: &FleetTable,
     now: BootTime,
     own: &OwnEndpoint,
     query: &LookupQuery,
 ) -> Vec<SocketAddr> {
-    let mut in_region = Vec::new();
-    let mut elsewhere = Vec::new();
-    let mut add = |region: &str, address: SocketAddr| {
-        if region == query.region {
-            in_region.push(address);
-        } else {
-            elsewhere.push(address);
-        }
+    let mut groups: BTreeMap<(bool, bool), Vec<SocketAddr>> = BTreeMap::new();
+    let mut add = |region: &str, address: SocketAddr, targets_unreachable: bool| {
+        let group = (targets_unreachable, region != query.region);
+        groups.entry(group).or_default().push(address);
     };
     if own.accepts_callers {
-        add(&own.region, own.callers);
+        add(&own.region, own.callers, own.targets_unreachable);
     }
     for peer in fleet.peers().filter(|peer| peer.accepts_callers(now)) {
-        add(&peer.entry.region, peer.entry.callers);
+        let entry = &peer.entry;
+        add(&entry.region, entry.callers, peer.targets_unreachable);
     }
-    let mut chosen = if in_region.is_empty() {
-        elsewhere
-    } else {
-        in_region
-    };
+    let (_, mut chosen) = groups.pop_first().unwrap_or_default();
     if chosen.len() > MAX_ADDRESSES {
         rendezvous::rank(&query.zone, &mut chosen, ToString::to_string);
         chosen.truncate(MAX_ADDRESSES);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -153,6 +153,7 @@
         peer.ready = heartbeat.ready;
         peer.leaving = heartbeat.leaving;
         peer.store_unreachable = heartbeat.copies.store_unreachable;
+        peer.targets_unreachable = heartbeat.targets_unreachable;
         peer.heartbeat_at = now;
         peer.heartbeat = Some(heartbeat);
         Some(admitted)
@@ -219,6 +220,7 @@
                 peer.ready = status.ready;
                 peer.leaving = status.leaving;
                 peer.store_unreachable = status.store_unreachable;
+                peer.targets_unreachable = status.targets_unreachable;
             }
         }
     }
@@ -235,6 +237,7 @@
                 ready: peer.ready,
                 leaving: peer.leaving,
                 store_unreachable: peer.store_unreachable,
+                targets_unreachable: peer.targets_unreachable,
             });
         }
         statuses
--- a/crates/gateway/src/fleet/peer.rs
+++ b/crates/gateway/src/fleet/peer.rs
@@ -22,6 +22,8 @@
     pub leaving: bool,
     /// Whether it reports that its calls to the store fail.
     pub store_unreachable: bool,
+    /// Whether it reports that it reaches no target.
+    pub targets_unreachable: bool,
     /// Its latest heartbeat. Hosts of the own zone and the store watchers of the own region send them.
     pub heartbeat: Option<PeerHeartbeat>,
     /// Time at which that heartbeat was received.
@@ -40,6 +42,7 @@
             ready: false,
             leaving: false,
             store_unreachable: false,
+            targets_unreachable: false,
             heartbeat: None,
             heartbeat_at: Duration::ZERO,
             unlisted: false,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,8 @@
 pub mod policy_copy;
 pub mod proxy;
 pub mod ration;
+pub mod reach;
+pub mod reach_probe;
 pub mod refusal;
 pub mod registry;
 pub mod reload;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -229,6 +229,9 @@
         /// Whether the sender is stopping.
         #[serde(rename = "l")]
         pub leaving: bool,
+        /// Whether the sender reaches no target.
+        #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
+        pub targets_unreachable: bool,
         /// State of the sender's copies.
         #[serde(rename = "c")]
         pub copies: CopyStatus,
@@ -268,6 +271,9 @@
         /// Whether a store call of it failed lately and none has succeeded since.
         #[serde(rename = "w", default)]
         pub store_unreachable: bool,
+        /// Whether it reaches no target.
+        #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
+        pub targets_unreachable: bool,
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,8 @@
     pub hosts: IntGauge,
     /// Number of requests that are blocked because targets crash under them.
     pub blocked_requests: IntGauge,
+    /// 1 while this host reaches no target, else 0.
+    pub targets_unreachable: IntGauge,
     /// Limits that targets name.
     pub limits: LimitMetrics,
     /// What the hosts of each zone have in force.
@@ -110,6 +112,10 @@
                 "fighall_blocked_requests",
                 "Requests blocked because targets crash under them",
             )?,
+            targets_unreachable: gauge(
+                "fighall_targets_unreachable",
+                "1 while no target can be reached",
+            )?,
             limits: LimitMetrics::new(&registry)?,
             rollouts: RolloutMetrics::new(&registry)?,
             registry,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -15,6 +15,7 @@
     policy::CallerLimits,
     policy_copy::PolicyCopy,
     proxy::CallerProxy,
+    reach_probe::ReachProber,
     reload::{SettingsFile, SettingsReload},
     reuse::DEFAULT_IDLE_LIMIT,
     rollout::RolloutTracker,
@@ -124,6 +125,7 @@
         let beat_service = Rc::new(BeatService::bind(&kernel).await?);
         let reload = Rc::new(SettingsReload::new(&kernel, file)?);
         kernel.spawn_service(reload.watch_file());
+        kernel.spawn_service(ReachProber::new(&kernel)?.run());
         for signal in [SIGHUP, SIGTERM] {
             kernel.spawn_service(keep_signal_handler(signal));
         }
@@ -277,6 +279,7 @@
             region: self.settings.region.clone(),
             callers: self.settings.callers,
             accepts_callers: self.is_ready(),
+            targets_unreachable: self.router.borrow().reach.is_unreachable(),
         };
         let router = self.router.borrow();
         let addresses = directory::select_addresses(&router.fleet, boot_time(), &own, &query);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -71,6 +71,8 @@
     received: RefCell<BTreeMap<HostId, ReceivedHeartbeat>>,
     ledger: RefCell<AdmissionLedger>,
     sent_at: Cell<BootTime>,
+    // Whether the last heartbeats reported that this host reaches no target.
+    reported_unreachable: Cell<bool>,
     // Messages sent to other zones, which their receivers get in turn.
     zone_messages: Cell<u64>,
     // Messages to all hosts of the zone that have not been sent.
@@ -108,6 +110,7 @@
             received: RefCell::new(BTreeMap::new()),
             ledger: RefCell::new(AdmissionLedger::default()),
             sent_at: Cell::new(Duration::ZERO),
+            reported_unreachable: Cell::new(false),
             zone_messages: Cell::new(0),
             local_queue: RefCell::new(VecDeque::new()),
             queued: Event::new(),
@@ -122,7 +125,9 @@
                 self.forward_changes(changes).await;
             }
             let now = boot_time();
-            let is_due = now.saturating_sub(self.sent_at.get()) >= HEARTBEAT_INTERVAL;
+            let unreachable = self.router.borrow().reach.is_unreachable();
+            let is_due = now.saturating_sub(self.sent_at.get()) >= HEARTBEAT_INTERVAL
+                || unreachable != self.reported_unreachable.get();
             if is_due {
                 self.send_heartbeats().await;
             } else if self.has_urgent_report() {
@@ -150,6 +155,8 @@
     pub async fn send_heartbeats(&self) {
         let now = boot_time();
         self.sent_at.set(now);
+        let unreachable = self.router.borrow().reach.is_unreachable();
+        self.reported_unreachable.set(unreachable);
         self.send_reports(now, |_| true).await;
     }
 
--- a/crates/gateway/src/peers/content.rs
+++ b/crates/gateway/src/peers/content.rs
@@ -50,6 +50,7 @@
             echo,
             ready: self.is_serving(now),
             leaving: self.is_leaving(),
+            targets_unreachable: self.router.borrow().reach.is_unreachable(),
             copies: self.follower.copy_status(now),
             usages: report.usages,
             demands: report.demands,
@@ -69,6 +70,7 @@
             ready: self.is_serving(now),
             leaving: self.is_leaving(),
             store_unreachable: copies.store_unreachable,
+            targets_unreachable: router.reach.is_unreachable(),
         });
         ZoneDigest {
             region: self.settings.region.clone(),
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -147,7 +147,8 @@
             }
         };
         let leaving = self.kernel.signal().stage() >= LifeStage::Announcing;
-        if leaving || self.kernel.work_count() > self.keep_alive_limit {
+        let is_full = self.kernel.work_count() > self.keep_alive_limit;
+        if leaving || is_full || self.is_cut_off(boot_time()) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
@@ -173,6 +174,10 @@
             turn.reached().await;
         }
         let organisation = self.find_organisation(&policy, &route, &metadata, arrived_at)?;
+        if self.is_cut_off(arrived_at) {
+            let refusal = RequestRefusal::new(RefusalCause::CutOff);
+            return Err(refusal.with_retry_after(FAILED_RETRY_AFTER));
+        }
         let mut token = None;
         if let Some(organisation) = &organisation {
             let admitted = self.router.borrow_mut().admit(arrived_at, organisation);
@@ -202,6 +207,12 @@
         self.run_attempts(&admitted).await
     }
 
+    // Whether requests can be served only by other hosts.
+    fn is_cut_off(&self, now: BootTime) -> bool {
+        let router = self.router.borrow();
+        router.is_cut_off(now) && !router.reach.has_live_connections(now)
+    }
+
     fn log_rate_limited(&self, request: &str, organisation: &OrgPolicy) {
         let router = self.router.borrow();
         info!(self.logger, "beyond the rate";
--- a/crates/gateway/src/proxy/attempts.rs
+++ b/crates/gateway/src/proxy/attempts.rs
@@ -114,7 +114,9 @@
                 router.record_break(now, target, request.digest());
                 self.probe(placement);
             }
-            AttemptOutcome::NotSent { refused: true, .. } => {
+            AttemptOutcome::NotSent { refused: true, .. }
+                if !router.reach.hold_end(now, target) =>
+            {
                 let blocked = router.crashes.record_ended(now, target);
                 log_blocks(&self.logger, &blocked, "attempt");
             }
--- a/crates/gateway/src/proxy/probe.rs
+++ b/crates/gateway/src/proxy/probe.rs
@@ -62,8 +62,11 @@
                 port_closed: true, ..
             })) => {
                 let mut router = self.router.borrow_mut();
-                let blocked = router.record_ended(now, &self.target);
-                log_blocks(&self.logger, &blocked, "probe");
+                router.reach.record_failure(&self.target);
+                if !router.reach.hold_end(now, &self.target) {
+                    let blocked = router.record_ended(now, &self.target);
+                    log_blocks(&self.logger, &blocked, "probe");
+                }
             }
             _ => {}
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -47,6 +47,8 @@
         NoTarget,
         /// The expected wait at the targets is too long.
         Busy,
+        /// This host reaches no target, but others do.
+        CutOff,
         /// This host is stopping and would end before the expected response.
         Ending,
         /// All attempts failed, and the request did not run.
@@ -66,6 +68,7 @@
             Self::Unready
             | Self::NoTarget
             | Self::Busy
+            | Self::CutOff
             | Self::Ending
             | Self::NotRun
             | Self::Crashing => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -4,6 +4,7 @@
 pub mod demands;
 pub mod limits;
 pub mod outcomes;
+pub mod reaches;
 pub mod retries;
 
 use crate::{
@@ -14,6 +15,7 @@
     limit::{FleetLimiter, OrgLimit},
     placement::{self, CONSIDERED_TARGETS, PlacementOption, WeightedTarget, WorkEstimate},
     policy::{OrgPolicy, RoutePolicy, ServicePolicy, TrafficPolicy},
+    reach::TargetReach,
     refusal,
     retry::{HostCounts, RetryBudget},
     roster::{RosterRecord, TargetRoster},
@@ -55,6 +57,8 @@
     pub limiter: FleetLimiter,
     /// Requests that are suspected of crashing targets.
     pub crashes: CrashLedger,
+    /// Whether this host reaches targets.
+    pub reach: TargetReach,
     /// Time at which this host's process ends; absent until it is asked to stop.
     pub ends_at: Option<BootTime>,
     started_at: BootTime,
@@ -85,6 +89,7 @@
             roster,
             limiter: FleetLimiter::new(now),
             crashes: CrashLedger::default(),
+            reach: TargetReach::default(),
             ends_at: None,
             started_at: now,
             retry_budgets: BTreeMap::new(),
--- a/crates/gateway/src/router/outcomes.rs
+++ b/crates/gateway/src/router/outcomes.rs
@@ -43,6 +43,7 @@
 
     /// Records how long connecting to a target took, which is about a round trip.
     pub fn record_connect_time(&mut self, target: &str, elapsed: Duration) {
+        self.reach.record_connection();
         let Some(record) = self.roster.get(target) else {
             return;
         };
@@ -69,6 +70,7 @@
         latency: Duration,
         success: bool,
     ) {
+        self.reach.record_response(now);
         let Some(record) = self.roster.get_mut(&sent.target) else {
             return;
         };
@@ -134,6 +136,7 @@
     /// Records that the target rejected a request without running it. A rejection that requests a pause is no
     /// failure: the target gets no requests until its end anyway.
     pub fn record_rejection(&mut self, now: BootTime, sent: &SentRequest) {
+        self.reach.record_response(now);
         if let Some(record) = self.roster.get_mut(&sent.target)
             && !record.pause.is_active(now)
         {
@@ -149,6 +152,7 @@
         sent: &SentRequest,
         service: &ServicePolicy,
     ) -> bool {
+        self.reach.record_failure(&sent.target);
         let Some(record) = self.roster.get_mut(&sent.target) else {
             return false;
         };
@@ -159,6 +163,7 @@
 
     /// Records that a request got no response in time. Returns whether the target is ejected by it.
     pub fn record_timeout(&mut self, now: BootTime, sent: &SentRequest) -> bool {
+        self.reach.record_silence(&sent.target);
         let record = self.roster.get_mut(&sent.target);
         record.is_some_and(|record| record.health.record_timeout(now))
     }
--- a/crates/gateway/tests/admission_fleet/mod.rs
+++ b/crates/gateway/tests/admission_fleet/mod.rs
@@ -285,6 +285,7 @@
             echo: None,
             ready: true,
             leaving: false,
+            targets_unreachable: false,
             copies: CopyStatus::default(),
             usages: host.ledger.host_report(now, &usages),
             demands: BTreeMap::new(),
@@ -331,6 +332,7 @@
             ready: true,
             leaving: false,
             store_unreachable: false,
+            targets_unreachable: false,
         });
         let digest = ZoneDigest {
             region: host.entry.region.clone(),
--- a/crates/gateway/tests/cut_off.rs
+++ b/crates/gateway/tests/cut_off.rs
@@ -168,6 +168,13 @@
             .collect()
     }
 
+    fn runs(&self, id: &str) -> u32 {
+        let runs = |target: &TargetStandIn| {
+            target.with_record(|record| record.runs.get(id).copied().unwrap_or(0))
+        };
+        self.targets.iter().map(runs).sum()
+    }
+
     async fn assert_looked_up(&self, expected: &[usize]) {
         for at in 0..self.hosts.len() {
             assert_eq!(self.look_up(at).await, expected, "at host {at}");
@@ -240,8 +247,10 @@
         let id = format!("healed-{round}");
         assert_eq!(fleet.hosts[0].send("/write/a", &id).await.0, 200);
     }
-    for target in &fleet.targets {
-        assert_eq!(target.record().doubled(), 0);
+    for round in 0..2 {
+        for number in 0..5 {
+            assert!(fleet.runs(&format!("cut-{round}-{number}")) <= 1);
+        }
     }
 }
 
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -49,6 +49,7 @@
         echo: None,
         ready: true,
         leaving: false,
+        targets_unreachable: false,
         copies: COPIES,
         usages: Vec::new(),
         demands: BTreeMap::new(),
@@ -112,6 +113,7 @@
         ready: true,
         leaving: false,
         store_unreachable: false,
+        targets_unreachable: false,
     };
     ZoneDigest {
         versions: ZoneVersions::default(),
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -246,6 +246,7 @@
         echo: None,
         ready: true,
         leaving: false,
+        targets_unreachable: false,
         copies: CopyStatus {
             policy,
             store_age_us: Some(0),
--- a/crates/gateway/tests/limit_fleet/mod.rs
+++ b/crates/gateway/tests/limit_fleet/mod.rs
@@ -421,6 +421,7 @@
             echo: None,
             ready: true,
             leaving: false,
+            targets_unreachable: false,
             copies: CopyStatus::default(),
             usages: Vec::new(),
             demands: BTreeMap::new(),
@@ -443,6 +444,7 @@
             ready: true,
             leaving: false,
             store_unreachable: false,
+            targets_unreachable: false,
         });
         let digest = ZoneDigest {
             versions: ZoneVersions::default(),
--- a/crates/gateway/tests/malformed.rs
+++ b/crates/gateway/tests/malformed.rs
@@ -119,6 +119,7 @@
         }),
         ready: true,
         leaving: false,
+        targets_unreachable: false,
         copies: CopyStatus {
             policy,
             policy_number: u64::MAX,
--- a/crates/gateway/tests/routing.rs
+++ b/crates/gateway/tests/routing.rs
@@ -148,6 +148,7 @@
             echo: None,
             ready: true,
             leaving: false,
+            targets_unreachable: false,
             copies: CopyStatus::default(),
             limits: Vec::new(),
             crashes: Vec::new(),
--- a/crates/gateway/tests/zones.rs
+++ b/crates/gateway/tests/zones.rs
@@ -43,6 +43,7 @@
         echo: None,
         ready: true,
         leaving: false,
+        targets_unreachable: false,
         copies: CopyStatus {
             policy: POLICY,
             store_age_us: Some(100_000),
@@ -64,6 +65,7 @@
         ready: true,
         leaving: false,
         store_unreachable: false,
+        targets_unreachable: false,
     });
     ZoneDigest {
         versions: ZoneVersions::default(),
