gateway: a stopping host takes no request that may outlast it

It happens here: requests sent to a stopping host 1.4 s or more after the signal ran at a target and got no response, of a stop of 4 s and a route of 2.5 s. Cause: a stopping host took a request if twice its expected latency fitted into the time left; the expected latency is an estimate, and a target that slows down or a body that comes slowly outlasts it. Change: it takes a request only if the deadline passes 100 ms before the process ends; others are refused at once as not run, for another host. Conclusion: a request sent after the signal ends before the process does; one that was under way at the signal with more time left than the grace may still be cut.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -91,11 +91,8 @@
             /// Expected latency at the best target.
             expected: Duration,
         },
-        /// This host stops before the response is expected; the caller may retry at another one at once.
-        Ending {
-            /// Expected latency at the best target.
-            expected: Duration,
-        },
+        /// This host stops before the deadline of the request; the caller may retry at another one at once.
+        Ending,
     }
 }
 
@@ -111,7 +108,7 @@
         match &mut self {
             Self::NoTarget { retry_after } => *retry_after = target_wait,
             Self::Busy { retry_after, .. } => *retry_after = target_wait.min(*retry_after),
-            Self::Ending { .. } => {}
+            Self::Ending => {}
         }
         self
     }
@@ -120,7 +117,7 @@
     pub fn retry_after(&self) -> Duration {
         match self {
             Self::NoTarget { retry_after } | Self::Busy { retry_after, .. } => *retry_after,
-            Self::Ending { .. } => Duration::ZERO,
+            Self::Ending => Duration::ZERO,
         }
     }
 }
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -295,7 +295,7 @@
                     let cause = match refusal {
                         PlacementRefusal::NoTarget { .. } => RefusalCause::NoTarget,
                         PlacementRefusal::Busy { .. } => RefusalCause::Busy,
-                        PlacementRefusal::Ending { .. } => RefusalCause::Ending,
+                        PlacementRefusal::Ending => RefusalCause::Ending,
                     };
                     info!(self.logger, "no target";
                         "request" => &request.prepared.id,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -12,9 +12,8 @@
 
 /// Factor on the maximum wait for each step of lower priority.
 const PRIORITY_FACTOR: f64 = 0.85;
-/// Safety factor on the expected latency at a host that is stopping: responses are often late under load,
-/// and a request that is cut off at the end is lost.
-const LATENCY_SAFETY_FACTOR: u32 = 2;
+/// Time from the deadline of a request to the end of the host's process, within which its response reaches the caller.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 /// Bounds of `Retry-After` for a refused caller: an earlier retry would meet the same queue, and a
 /// later one would exceed most callers' deadlines.
 const RETRY_AFTER_BOUNDS: (Duration, Duration) =
@@ -74,10 +73,10 @@
     Err(clamp_retry_after(wait.saturating_sub(max_wait)))
 }
 
-/// Tells whether a request whose response is expected after `expected` finishes before the host's process
-/// ends at `ends_at`, if the host is stopping.
-pub fn finishes_in_time(now: BootTime, ends_at: Option<BootTime>, expected: Duration) -> bool {
-    ends_at.is_none_or(|ends_at| expected * LATENCY_SAFETY_FACTOR <= ends_at.saturating_sub(now))
+/// Tells whether a request that times out after `timeout` has a response before the host's process ends at
+/// `ends_at`, if the host is stopping. An expected latency is no bound: a target may slow down.
+pub fn finishes_in_time(now: BootTime, ends_at: Option<BootTime>, timeout: Duration) -> bool {
+    ends_at.is_none_or(|ends_at| now + timeout + RESPONSE_MARGIN <= ends_at)
 }
 
 /// Clamps the time after which a refused caller may retry.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -49,7 +49,7 @@
         Busy,
         /// This host reaches no target, but others do.
         CutOff,
-        /// This host is stopping and would end before the expected response.
+        /// This host is stopping and may end before the response.
         Ending,
         /// All attempts failed, and the request did not run.
         NotRun,
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -156,6 +156,9 @@
         query: &PlacementQuery,
         service: &ServicePolicy,
     ) -> Result<TargetPlacement, PlacementRefusal> {
+        if !refusal::finishes_in_time(now, self.ends_at, query.limits.timeout) {
+            return Err(PlacementRefusal::Ending);
+        }
         let work = self
             .work_history
             .estimate(&query.route, query.limits.objective);
@@ -164,11 +167,6 @@
         loop {
             let best = self.best_target(now, query, &work, &excluded);
             let placement = best.map_err(|refusal| refusal.with_target_wait(token_wait))?;
-            if !refusal::finishes_in_time(now, self.ends_at, placement.expected_latency) {
-                return Err(PlacementRefusal::Ending {
-                    expected: placement.expected_latency,
-                });
-            }
             if placement.limit.is_some() {
                 let wait = self.limit_wait(now, &placement.target);
                 if wait != Some(Duration::ZERO) {
