--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -114,7 +114,8 @@
         is_held
     }
 
-    /// Takes the ends of targets that are certain once a round of probes is over: none if the fault is this host's.
+    /// Takes the held ends of targets, after a round of probes or when none is needed. Returns none if the fault is this
+    /// host's.
     pub fn take_ends(&mut self) -> Vec<(BootTime, TargetId)> {
         let ends = std::mem::take(&mut self.held_ends);
         if self.unreachable { Vec::new() } else { ends }
--- a/crates/gateway/src/reach_probe.rs
+++ b/crates/gateway/src/reach_probe.rs
@@ -60,13 +60,23 @@
     pub async fn run(self) {
         for round in 0.. {
             while !self.router.borrow().reach.needs_probes() {
+                self.record_ends();
                 compio::time::sleep(CHECK_INTERVAL).await;
             }
             self.probe(round).await;
+            self.record_ends();
             compio::time::sleep(ROUND_INTERVAL).await;
         }
     }
 
+    fn record_ends(&self) {
+        let mut router = self.router.borrow_mut();
+        for (at, target) in router.reach.take_ends() {
+            let blocked = router.record_ended(at, &target);
+            log_blocks(&self.logger, &blocked, "attempt");
+        }
+    }
+
     async fn probe(&self, round: usize) {
         let policy = self.policy.borrow().policy();
         let Some(policy) = policy else {
@@ -82,10 +92,6 @@
         };
         let mut router = self.router.borrow_mut();
         let change = router.reach.record_probes(reached);
-        for (at, target) in router.reach.take_ends() {
-            let blocked = router.record_ended(at, &target);
-            log_blocks(&self.logger, &blocked, "attempt");
-        }
         match change {
             Some(ReachChange::Lost) => {
                 warn!(self.logger, "no target reachable"; "probed" => outcomes.len());
