gateway: other hosts serve the requests of a host that reaches no target

Cause: no host passed a request to another one. Change: while it is cut off, a host passes requests to a host that reaches targets, within the regions of the request and the own region first: once at most unless it certainly did not arrive, with the time left, marked so that it is not passed again, 16 at one moment to each other host, without a token or a count of its own.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -80,6 +80,8 @@
     pub read_caller_headers: fn(&HeaderMap) -> CallerMetadata,
     /// Removes the headers that a caller must not pass to a target, such as its key, and sets fighall's.
     pub write_target_headers: fn(&mut HeaderMap, &TargetMetadata),
+    /// Sets the identifier and the time left of a request that is passed to another host as its caller sent it.
+    pub write_passed_headers: fn(&mut HeaderMap, &str, Duration),
     /// Reads the headers of a target's response.
     pub read_response_headers: fn(&HeaderMap) -> ResponseMetadata,
     /// Sets the header that holds the delay after which a refused caller may retry.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,8 @@
     pub attempt_latency: HistogramVec,
     /// Retries by service and by whether the budget permitted them: `permitted` or `refused`.
     pub retries: IntCounterVec,
+    /// Requests passed to other hosts by outcome, while this host reaches no target.
+    pub passed: IntCounterVec,
     /// Steps of store watches by object kind and outcome.
     pub watch_steps: IntCounterVec,
     /// Version of the traffic policy in force.
@@ -96,6 +98,11 @@
                 "Retries permitted or refused by the budget",
                 &["service", "outcome"],
             )?,
+            passed: counter_vec(
+                "fighall_passed_total",
+                "Requests passed to other hosts",
+                &["outcome"],
+            )?,
             watch_steps: counter_vec(
                 "fighall_watch_steps_total",
                 "Steps of watches of the store",
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -60,6 +60,7 @@
     WireDialect {
         read_caller_headers,
         write_target_headers,
+        write_passed_headers,
         read_response_headers,
         write_retry_after,
         read_lookup,
@@ -134,6 +135,15 @@
     }
 }
 
+fn write_passed_headers(headers: &mut HeaderMap, request: &str, time_left: Duration) {
+    set(headers, &REQUEST_HEADER, request);
+    set(
+        headers,
+        &DEADLINE_HEADER,
+        &time_left.as_millis().to_string(),
+    );
+}
+
 fn read_response_headers(headers: &HeaderMap) -> ResponseMetadata {
     let load = header_text(headers, &LOAD_HEADER);
     ResponseMetadata {
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -1,6 +1,7 @@
 //! The reverse proxy: admits a caller's request, sends it to targets and returns the response.
 
 mod attempts;
+mod passing;
 mod probe;
 
 use crate::{
@@ -13,7 +14,7 @@
     policy_copy::PolicyCopy,
     request::{
         AdmittedRequest, AttemptRecord, RateToken, RefusalCause, RequestMatch, RequestRefusal,
-        prepare_request, unready_refusal,
+        allowed_regions, cut_off_refusal, deadline_of, prepare_request, unready_refusal,
     },
     response_body::ResponseBudget,
     reuse::IdleLimit,
@@ -174,9 +175,18 @@
             turn.reached().await;
         }
         let organisation = self.find_organisation(&policy, &route, &metadata, arrived_at)?;
-        if self.is_cut_off(arrived_at) {
-            let refusal = RequestRefusal::new(RefusalCause::CutOff);
-            return Err(refusal.with_retry_after(FAILED_RETRY_AFTER));
+        if self.is_cut_off(boot_time()) {
+            let regions = allowed_regions(&route, organisation.as_ref());
+            let hosts = self.hosts_to_pass_to(&request, &metadata, regions.as_deref());
+            if !hosts.is_empty() {
+                let max_body_bytes = policy.limits.max_body_bytes;
+                let prepared = prepare_request(request, &metadata, max_body_bytes).await?;
+                let deadline = deadline_of(arrived_at, &metadata, &route);
+                return self.pass(&prepared, hosts, deadline).await;
+            }
+            if !self.router.borrow().reach.has_live_connections(boot_time()) {
+                return Err(cut_off_refusal());
+            }
         }
         let mut token = None;
         if let Some(organisation) = &organisation {
@@ -207,10 +217,9 @@
         self.run_attempts(&admitted).await
     }
 
-    // Whether requests can be served only by other hosts.
+    // Whether other hosts reach targets and this one does not.
     fn is_cut_off(&self, now: BootTime) -> bool {
-        let router = self.router.borrow();
-        router.is_cut_off(now) && !router.reach.has_live_connections(now)
+        self.router.borrow().is_cut_off(now)
     }
 
     fn log_rate_limited(&self, request: &str, organisation: &OrgPolicy) {
--- /dev/null
+++ b/crates/gateway/src/proxy/passing.rs
@@ -0,0 +1,90 @@
+//! Requests that another host serves, because this one reaches no target.
+
+use super::CallerProxy;
+use crate::{
+    dialect::CallerMetadata,
+    request::{RefusalCause, RequestRefusal, cut_off_refusal},
+    sender::{
+        self, AttemptOptions, AttemptOutcome, BufferedResponse, PASSED_HEADER, PreparedRequest,
+    },
+};
+use fighall_core::{
+    clock::boot_time,
+    ids::{BootTime, HostId, RegionId},
+};
+use fighall_net::body::IncomingBody;
+use http::Request;
+use slog::info;
+use std::{net::SocketAddr, time::Duration};
+
+/// Hosts to which a request is sent until one has received it.
+const MAX_HOSTS: usize = 2;
+/// Requests at one moment that this host passes to one other host, so that those that are left are not overloaded.
+const MAX_PASSED: u32 = 16;
+/// Longest idle time of a connection to another host that is reused.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(300);
+
+impl CallerProxy {
+    // Lists the hosts that may serve a request for this one; none for a request that was passed before, so that it is
+    // not passed in circles.
+    pub(super) fn hosts_to_pass_to(
+        &self,
+        request: &Request<IncomingBody>,
+        metadata: &CallerMetadata,
+        regions: Option<&[RegionId]>,
+    ) -> Vec<(HostId, SocketAddr)> {
+        if request.headers().contains_key(PASSED_HEADER) {
+            return Vec::new();
+        }
+        let router = self.router.borrow();
+        router.serving_hosts(boot_time(), regions, &metadata.request)
+    }
+
+    // Passes a request to another host, which admits it as one of its own. It is sent once at most: a request that may
+    // have arrived is not sent again.
+    pub(super) async fn pass(
+        &self,
+        request: &PreparedRequest,
+        hosts: Vec<(HostId, SocketAddr)>,
+        deadline: BootTime,
+    ) -> std::result::Result<BufferedResponse, RequestRefusal> {
+        for (host, address) in hosts.into_iter().take(MAX_HOSTS) {
+            let options = AttemptOptions {
+                address,
+                max_connections: MAX_PASSED,
+                max_idle_time: MAX_IDLE_TIME,
+                deadline,
+            };
+            let sent_at = boot_time();
+            let outcome = sender::pass_to_host(
+                &self.pool,
+                &self.dialect,
+                &self.response_budget,
+                request,
+                options,
+            )
+            .await;
+            let (label, result) = match outcome {
+                AttemptOutcome::Answered(response) => ("answered", Some(Ok(response))),
+                AttemptOutcome::Unknown {
+                    timed_out: true, ..
+                } => ("silent", Some(Err(RefusalCause::Timeout))),
+                AttemptOutcome::Unknown { .. } => ("unknown", Some(Err(RefusalCause::Unknown))),
+                AttemptOutcome::NotSent { .. } | AttemptOutcome::Rejected { .. } => {
+                    ("not_sent", None)
+                }
+            };
+            info!(self.logger, "request passed";
+                "request" => &request.id,
+                "to" => host,
+                "outcome" => label,
+                "held_ms" => boot_time().saturating_sub(sent_at).as_millis(),
+            );
+            self.metrics.passed.with_label_values(&[label]).inc();
+            if let Some(result) = result {
+                return result.map_err(RequestRefusal::new);
+            }
+        }
+        Err(cut_off_refusal())
+    }
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -11,7 +11,7 @@
 };
 use fighall_core::{
     clock::boot_time,
-    ids::{BootTime, TargetId},
+    ids::{BootTime, RegionId, TargetId},
     tag,
 };
 use fighall_net::body::IncomingBody;
@@ -27,6 +27,9 @@
 /// `Retry-After` of a host that is not ready to serve.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// `Retry-After` of a host that reaches no target; another host may serve the request at once.
+const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 tag! {
     /// `RefusalCause` is why the host responded to a request itself instead of passing on a target's response.
     /// The lower-case name of the variant is logged and counted as the request's outcome.
@@ -166,6 +169,10 @@
     RequestRefusal::new(RefusalCause::Unready).with_retry_after(UNREADY_RETRY_AFTER)
 }
 
+pub(crate) fn cut_off_refusal() -> RequestRefusal {
+    RequestRefusal::new(RefusalCause::CutOff).with_retry_after(CUT_OFF_RETRY_AFTER)
+}
+
 // Reads the body into memory, up to the limit of the policy.
 pub(crate) async fn prepare_request(
     request: Request<IncomingBody>,
@@ -190,6 +197,25 @@
     })
 }
 
+// Gets the deadline of a request: that of its caller or its route, whichever is earlier.
+pub(crate) fn deadline_of(
+    arrived_at: BootTime,
+    metadata: &CallerMetadata,
+    route: &RoutePolicy,
+) -> BootTime {
+    let timeout = metadata.timeout.unwrap_or(route.timeout);
+    arrived_at + timeout.min(route.timeout)
+}
+
+// Gets the regions to which a request may be sent; none if there is no restriction.
+pub(crate) fn allowed_regions(
+    route: &RoutePolicy,
+    organisation: Option<&OrgPolicy>,
+) -> Option<Vec<RegionId>> {
+    let homes: &[_] = organisation.map_or(&[], |organisation| &organisation.allowed_regions);
+    intersect_regions(&route.allowed_regions, homes)
+}
+
 // What was found out about a request before its body was read.
 pub(crate) struct RequestMatch {
     pub(crate) route: RoutePolicy,
@@ -205,9 +231,8 @@
         matched: RequestMatch,
         token: Option<RateToken>,
     ) -> Self {
-        let timeout = metadata.timeout.unwrap_or(matched.route.timeout);
         Self {
-            deadline: arrived_at + timeout.min(matched.route.timeout),
+            deadline: deadline_of(arrived_at, &metadata, &matched.route),
             prepared,
             metadata,
             route: matched.route,
@@ -243,10 +268,6 @@
     }
 
     pub(crate) fn placement_query(&self, now: BootTime, tried: &[TargetId]) -> PlacementQuery {
-        let organisation_homes: &[_] = self
-            .organisation
-            .as_ref()
-            .map_or(&[], |org| &org.allowed_regions);
         let object = self
             .metadata
             .object
@@ -261,7 +282,7 @@
                 || self.prepared.id.clone(),
                 |object| format!("{}/{object}", self.route.name),
             ),
-            allowed_regions: intersect_regions(&self.route.allowed_regions, organisation_homes),
+            allowed_regions: allowed_regions(&self.route, self.organisation.as_ref()),
             tried: tried.to_vec(),
             priority: RequestPriority {
                 organisation: self.organisation.as_ref().map_or(0, |org| org.priority),
--- a/crates/gateway/src/router/reaches.rs
+++ b/crates/gateway/src/router/reaches.rs
@@ -2,8 +2,8 @@
 
 use super::RequestRouter;
 use fighall_core::{
-    ids::{BootTime, ServiceId, ZoneId},
-    value,
+    ids::{BootTime, HostId, RegionId, ServiceId, ZoneId},
+    rendezvous, value,
 };
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -29,6 +29,37 @@
             && peers.any(|peer| peer.accepts_callers(now) && !peer.targets_unreachable)
     }
 
+    /// Lists the hosts that may serve requests for this one, with their addresses for callers: those that reach targets and
+    /// are in `allowed_regions`, if that is given. Hosts of the own region come first; `key` spreads requests.
+    pub fn serving_hosts(
+        &self,
+        now: BootTime,
+        allowed_regions: Option<&[RegionId]>,
+        key: &str,
+    ) -> Vec<(HostId, SocketAddr)> {
+        let mut local = Vec::new();
+        let mut remote = Vec::new();
+        for peer in self.fleet.peers() {
+            let entry = &peer.entry;
+            let is_allowed = allowed_regions
+                .is_none_or(|allowed_regions| allowed_regions.contains(&entry.region));
+            if !is_allowed || peer.targets_unreachable || !peer.accepts_callers(now) {
+                continue;
+            }
+            let host = (entry.host.clone(), entry.callers);
+            if entry.region == self.own_host.region {
+                local.push(host);
+            } else {
+                remote.push(host);
+            }
+        }
+        for hosts in [&mut local, &mut remote] {
+            rendezvous::rank(key, hosts, |(host, _)| host.clone());
+        }
+        local.extend(remote);
+        local
+    }
+
     /// Picks the targets of a round of probes: of all availability zones in turn, other ones in each round, and those
     /// to which connections failed only if there are no others.
     pub fn probed_targets(&self, now: BootTime, round: usize) -> Vec<ProbedTarget> {
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -13,13 +13,20 @@
     headers::remove_hop_by_hop,
     pool::{ConnectError, ConnectionOptions, ConnectionPool, PooledConnection},
 };
-use http::{HeaderMap, Method, Request, Response, StatusCode, header::EXPECT, uri::PathAndQuery};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header::EXPECT,
+    uri::PathAndQuery,
+};
 use hyper::body::Incoming;
 use std::{net::SocketAddr, time::Duration};
 
 /// Timeout for opening a connection to a target: several round trips between regions, but less than
 /// the retransmission timeout of a lost SYN.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Idle time after which a connection to another host is not reused: less than any idle timeout of its callers.
+const HOST_IDLE_LIMIT: Duration = Duration::from_millis(500);
+/// Marks a request that another host has passed on; its receiver does not pass it on again.
+pub const PASSED_HEADER: HeaderName = HeaderName::from_static("fighall-passed");
 /// Margin subtracted from the idle timeout that a target announces. A request takes up to a round trip
 /// between regions to arrive, and targets announce whole seconds.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
@@ -126,27 +133,18 @@
         pool.put(connection);
         return (ResponseMetadata::default(), deadline_passed());
     }
-    let message = build_request(
-        dialect,
-        request,
-        &TargetMetadata {
-            time_left,
-            ..metadata
-        },
-    );
+    let mut message = build_request(request);
+    let metadata = TargetMetadata {
+        time_left,
+        ..metadata
+    };
+    (dialect.write_target_headers)(message.headers_mut(), &metadata);
     let exchange = exchange(&mut connection, dialect, budget, message);
     let Ok((response_metadata, outcome, complete)) =
         compio::time::timeout(time_left, exchange).await
     else {
         pool.close_idle(options.address);
-        let cause = format!("no response within {} ms", time_left.as_millis());
-        let outcome = AttemptOutcome::Unknown {
-            cause,
-            timed_out: true,
-            closed: false,
-            stale_after: None,
-        };
-        return (ResponseMetadata::default(), outcome);
+        return (ResponseMetadata::default(), no_response(time_left));
     };
     let identifier_matches = response_metadata.request.as_deref() == Some(request.id.as_str());
     let is_first = connection.idle_for.is_none();
@@ -163,6 +161,50 @@
     (response_metadata, outcome)
 }
 
+/// Passes a request to the host at `options.address`, as its caller sent it, and waits for the complete response, which
+/// may be a refusal of that host.
+pub async fn pass_to_host(
+    pool: &ConnectionPool,
+    dialect: &WireDialect,
+    budget: &ResponseBudget,
+    request: &PreparedRequest,
+    options: AttemptOptions,
+) -> AttemptOutcome {
+    let mut connection = match connect(pool, options).await {
+        Ok(connection) => connection,
+        Err(outcome) => return outcome,
+    };
+    let time_left = options.deadline.saturating_sub(boot_time());
+    let mut message = build_request(request);
+    let headers = message.headers_mut();
+    headers.insert(PASSED_HEADER, HeaderValue::from_static("1"));
+    (dialect.write_passed_headers)(headers, &request.id, time_left);
+    let exchange = exchange(&mut connection, dialect, budget, message);
+    let Ok((metadata, outcome, complete)) = compio::time::timeout(time_left, exchange).await else {
+        return no_response(time_left);
+    };
+    let AttemptOutcome::Answered(response) = &outcome else {
+        return outcome;
+    };
+    let identifier_matches = metadata.request.as_deref() == Some(request.id.as_str());
+    if response.status.is_success() && !(identifier_matches && metadata.from_target) {
+        return invalid_response("response is not that of a target to the request".to_owned());
+    }
+    if complete && connection.sender.is_ready() {
+        pool.put_with_idle_timeout(connection, HOST_IDLE_LIMIT);
+    }
+    outcome
+}
+
+fn no_response(time_left: Duration) -> AttemptOutcome {
+    AttemptOutcome::Unknown {
+        cause: format!("no response within {} ms", time_left.as_millis()),
+        timed_out: true,
+        closed: false,
+        stale_after: None,
+    }
+}
+
 async fn connect(
     pool: &ConnectionPool,
     options: AttemptOptions,
@@ -205,11 +247,7 @@
     }
 }
 
-fn build_request(
-    dialect: &WireDialect,
-    request: &PreparedRequest,
-    metadata: &TargetMetadata,
-) -> Request<OutboundBody> {
+fn build_request(request: &PreparedRequest) -> Request<OutboundBody> {
     let mut message = Request::new(OutboundBody::full(request.body.clone()));
     *message.method_mut() = request.method.clone();
     *message.uri_mut() = request.path_and_query.clone().into();
@@ -218,7 +256,7 @@
     remove_hop_by_hop(headers);
     // The body is already buffered, so the target is not asked for `100 Continue`.
     headers.remove(EXPECT);
-    (dialect.write_target_headers)(headers, metadata);
+    headers.remove(PASSED_HEADER);
     message
 }
 
--- a/crates/gateway/tests/reach.rs
+++ b/crates/gateway/tests/reach.rs
@@ -252,3 +252,28 @@
     let router = new_router(60, |_| true);
     assert_eq!(look_up(&router), (0..60).map(callers_of).collect());
 }
+
+#[test]
+fn other_hosts_serve_only_within_the_regions_of_a_request() {
+    let mut router = new_router(6, |number| number == 2);
+    let mut remote = entry_of(7);
+    remote.region = "norr".to_owned();
+    remote.zone = "lima-0".to_owned();
+    router.fleet.register(remote);
+    router.fleet.apply_heartbeat(NOW, heartbeat_of(7, false));
+    let serving = |regions: Option<&[String]>| -> Vec<String> {
+        let hosts = router.serving_hosts(NOW, regions, "m1");
+        hosts.into_iter().map(|(host, _)| host).collect()
+    };
+    let all = serving(None);
+    assert_eq!(all.len(), 5, "{all:?}");
+    assert_eq!(
+        all.last(),
+        Some(&name_of(7)),
+        "a remote host is the last resort"
+    );
+    assert!(!all.contains(&name_of(2)), "it reaches no target itself");
+    assert_eq!(serving(Some(&["norr".to_owned()])), [name_of(7)]);
+    assert_eq!(serving(Some(&["lima".to_owned()])).len(), 4);
+    assert!(serving(Some(&["mitt".to_owned()])).is_empty());
+}
