gateway: a stopping host passes on no request that may outlast it

Change: the bound on requests of a stopping host holds for passed ones too; the checks stand beside the passing. Conclusion: one rule for all requests of a stopping host.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -14,7 +14,7 @@
     policy_copy::PolicyCopy,
     request::{
         AdmittedRequest, AttemptRecord, RateToken, RefusalCause, RequestMatch, RequestRefusal,
-        allowed_regions, cut_off_refusal, deadline_of, prepare_request, unready_refusal,
+        allowed_regions, deadline_of, prepare_request, unready_refusal,
     },
     response_body::ResponseBudget,
     reuse::IdleLimit,
@@ -149,7 +149,7 @@
         };
         let leaving = self.kernel.signal().stage() >= LifeStage::Announcing;
         let is_full = self.kernel.work_count() > self.keep_alive_limit;
-        if leaving || is_full || self.is_cut_off(boot_time()) {
+        if leaving || is_full || self.is_cut_off() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
@@ -175,18 +175,15 @@
             turn.reached().await;
         }
         let organisation = self.find_organisation(&policy, &route, &metadata, arrived_at)?;
-        if self.is_cut_off(boot_time()) {
+        if self.is_cut_off() {
+            let deadline = deadline_of(arrived_at, &metadata, &route);
             let regions = allowed_regions(&route, organisation.as_ref());
-            let hosts = self.hosts_to_pass_to(&request, &metadata, regions.as_deref());
+            let hosts = self.hosts_to_pass_to(&request, &metadata, regions.as_deref(), deadline)?;
             if !hosts.is_empty() {
                 let max_body_bytes = policy.limits.max_body_bytes;
                 let prepared = prepare_request(request, &metadata, max_body_bytes).await?;
-                let deadline = deadline_of(arrived_at, &metadata, &route);
                 return self.pass(&prepared, hosts, deadline).await;
             }
-            if !self.router.borrow().reach.has_live_connections(boot_time()) {
-                return Err(cut_off_refusal());
-            }
         }
         let mut token = None;
         if let Some(organisation) = &organisation {
@@ -217,11 +214,6 @@
         self.run_attempts(&admitted).await
     }
 
-    // Whether other hosts reach targets and this one does not.
-    fn is_cut_off(&self, now: BootTime) -> bool {
-        self.router.borrow().is_cut_off(now)
-    }
-
     fn log_rate_limited(&self, request: &str, organisation: &OrgPolicy) {
         let router = self.router.borrow();
         info!(self.logger, "beyond the rate";
--- a/crates/gateway/src/proxy/passing.rs
+++ b/crates/gateway/src/proxy/passing.rs
@@ -3,6 +3,7 @@
 use super::CallerProxy;
 use crate::{
     dialect::CallerMetadata,
+    refusal,
     request::{RefusalCause, RequestRefusal, cut_off_refusal},
     sender::{
         self, AttemptOptions, AttemptOutcome, BufferedResponse, PASSED_HEADER, PreparedRequest,
@@ -25,19 +26,35 @@
 const MAX_IDLE_TIME: Duration = Duration::from_millis(300);
 
 impl CallerProxy {
-    // Lists the hosts that may serve a request for this one; none for a request that was passed before, so that it is
-    // not passed in circles.
+    // Whether other hosts reach targets and this one does not.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.router.borrow().is_cut_off(boot_time())
+    }
+
+    // Lists the hosts that may serve a request for this one. None of them may serve one that was passed before, so that
+    // it is not passed in circles; it is refused unless kept connections to targets still work.
     pub(super) fn hosts_to_pass_to(
         &self,
         request: &Request<IncomingBody>,
         metadata: &CallerMetadata,
         regions: Option<&[RegionId]>,
-    ) -> Vec<(HostId, SocketAddr)> {
-        if request.headers().contains_key(PASSED_HEADER) {
-            return Vec::new();
-        }
+        deadline: BootTime,
+    ) -> std::result::Result<Vec<(HostId, SocketAddr)>, RequestRefusal> {
+        let now = boot_time();
         let router = self.router.borrow();
-        router.serving_hosts(boot_time(), regions, &metadata.request)
+        let mut hosts = Vec::new();
+        if !request.headers().contains_key(PASSED_HEADER) {
+            hosts = router.serving_hosts(now, regions, &metadata.request);
+        }
+        if hosts.is_empty() && !router.reach.has_live_connections(now) {
+            return Err(cut_off_refusal());
+        }
+        let time_left = deadline.saturating_sub(now);
+        if !refusal::finishes_in_time(now, router.ends_at, time_left) {
+            let refusal = RequestRefusal::new(RefusalCause::Ending);
+            return Err(refusal.with_retry_after(Duration::ZERO));
+        }
+        Ok(hosts)
     }
 
     // Passes a request to another host, which admits it as one of its own. It is sent once at most: a request that may
--- a/crates/gateway/tests/cut_off.rs
+++ b/crates/gateway/tests/cut_off.rs
@@ -21,6 +21,8 @@
 use support::{KEY, TestResponse, list_target, policy, send, settings, start_gateway};
 
 const TARGETS: usize = 6;
+/// Time that a host has for a planned stop, as a bound in its settings.
+const STOP_BOUND: &str = "\"stop=2500\"";
 /// Time after which a host counts as in touch with the fleet's state.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Time within which a request is refused that is known not to be served.
@@ -87,7 +89,7 @@
         for number in 0..count {
             let store = PlatformStandIn::start(loopback, 1).await.expect("a store");
             let name = format!("h{number}");
-            let (_, settings) = settings(&name, store.address(), "");
+            let (_, settings) = settings(&name, store.address(), STOP_BOUND);
             let mut links = Vec::new();
             for target in &targets {
                 let link = FaultRelay::start(target.address().to_string()).await;
@@ -364,3 +366,25 @@
         );
     });
 }
+
+#[test]
+fn a_planned_stop_of_a_host_that_is_cut_off_cuts_no_request() {
+    run(async {
+        let fleet = LinkedFleet::start(2).await;
+        fleet.start_callers();
+        compio::time::sleep(Duration::from_secs(1)).await;
+        fleet.hosts[0].cut(CutKind::Reset).await;
+        compio::time::sleep(CONTACT).await;
+        let gateway = Rc::clone(&fleet.hosts[0].gateway);
+        let stop = compio::runtime::spawn(async move { gateway.stop().await });
+        // The deadline of the first passes before the end of the process, and that of the second after it.
+        compio::time::sleep(Duration::from_millis(500)).await;
+        let early = fleet.hosts[0].send("/write/a", "early").await;
+        assert_eq!(early.expect("a response").status, 200);
+        compio::time::sleep(Duration::from_millis(1_000)).await;
+        let late = fleet.hosts[0].send("/write/a", "late").await;
+        assert_eq!(late.expect("a response").status, 503);
+        assert_eq!(fleet.runs("late"), 0);
+        stop.await.expect("a finished shutdown");
+    });
+}
