Review case 5: requests behind a chunked body run after their caller has left

Cause: behind a body in chunks all bytes go to hyper at once, which does not see the end of the connection while its buffer holds further requests. Change: a script with 60 clients of which 18 leave.

--- a/review/stand-in/cases.rs
+++ b/review/stand-in/cases.rs
@@ -4,7 +4,7 @@
     http::{Connection, Message},
     proxy::Proxy,
     target::Target,
-    world::{HOST_NAME, UNSAFE_PATH, World, new_request_id},
+    world::{HOST_NAME, SAFE_PATH, UNSAFE_PATH, World, new_request_id},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -28,6 +28,8 @@
 ];
 const DRAIN: Duration = Duration::from_millis(2_500);
 const EVACUATE: Duration = Duration::from_millis(5_000);
+/// Requests of callers who have left that may reach a target late.
+const FEW: usize = 5;
 /// Time for which machines stay out of touch after a disruption.
 const CONTACT: Duration = Duration::from_millis(3_000);
 
@@ -119,6 +121,80 @@
     (served > 0).then_some(held)
 }
 
+/// Callers send a body in chunks and further requests behind it on their connection, and some of them leave.
+pub fn abandoned_pipelines(record: &Path, trouble: bool) -> Option<bool> {
+    const CALLERS: usize = 60;
+    const LEAVING_SHARE: f64 = 0.3;
+    const FURTHER_REQUESTS: usize = 2;
+    let mut world = World::new(record);
+    world.start_targets(4, Duration::from_millis(1_200));
+    world.start_hosts(&["lima-a", "lima-b", "arequipa-a"], |store| store);
+    if !world.wait_until_ready() {
+        return None;
+    }
+    let mut callers = Vec::new();
+    for number in 0..CALLERS {
+        let address = world.hosts[number % world.hosts.len()].callers;
+        let leaves = trouble && (number as f64) < CALLERS as f64 * LEAVING_SHARE;
+        let record = Arc::clone(&world.record);
+        callers.push(thread::spawn(move || {
+            let first = new_request_id();
+            let further: Vec<_> = (0..FURTHER_REQUESTS).map(|_| new_request_id()).collect();
+            let mut text = format!(
+                "POST {UNSAFE_PATH} HTTP/1.1\r\nHost: {HOST_NAME}\r\nRequest-Id: {first}\r\nDeadline-Ms: 6000\r\n\
+                 Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+            );
+            for id in &further {
+                text.push_str(&format!(
+                    "GET {SAFE_PATH} HTTP/1.1\r\nHost: {HOST_NAME}\r\nRequest-Id: {id}\r\nDeadline-Ms: 6000\r\n\r\n"
+                ));
+            }
+            let mut connection = Connection::open(address, Duration::from_secs(6)).ok()?;
+            connection.send(text.as_bytes()).ok()?;
+            record.line(Instant::now(), &format!("sent {first} and behind it {further:?}"));
+            if leaves {
+                thread::sleep(Duration::from_millis(300));
+                drop(connection);
+                let left_at = Instant::now();
+                record.line(left_at, &format!("the caller of {first} leaves"));
+                return Some((further, Some(left_at)));
+            }
+            for id in [&first].into_iter().chain(&further) {
+                let outcome = connection.receive().map(|response| response.status());
+                record.line(Instant::now(), &format!("{id}: {outcome:?}"));
+                outcome.ok().filter(|status| *status == 200)?;
+            }
+            Some((further, None))
+        }));
+    }
+    let mut left: BTreeMap<String, Instant> = BTreeMap::new();
+    let mut served = 0;
+    for caller in callers {
+        match caller.join().ok()? {
+            Some((further, Some(left_at))) => {
+                left.extend(further.into_iter().map(|id| (id, left_at)));
+            }
+            Some((_, None)) => served += 1,
+            None => {}
+        }
+    }
+    thread::sleep(Duration::from_secs(2));
+    world.end();
+    let mut late = 0;
+    for run in world.targets.iter().flat_map(|target| target.runs()) {
+        let left_at = left.get(&run.request);
+        if left_at.is_some_and(|left_at| run.at > *left_at + Duration::from_millis(500)) {
+            late += 1;
+        }
+    }
+    let text = format!(
+        "{served} callers stayed and were served; of {} requests of callers who left, {late} reached a target more than 0.5 s later",
+        left.len()
+    );
+    world.record.note(&text);
+    (served > 0).then_some(late <= FEW)
+}
+
 /// Callers send bodies within `BodyBytes` at the same moment.
 pub fn large_bodies(record: &Path, trouble: bool) -> Option<bool> {
     const UPLOADS: usize = 3;
--- a/review/stand-in/http.rs
+++ b/review/stand-in/http.rs
@@ -129,6 +129,16 @@
     /// Sends a request and waits for its response.
     pub fn exchange(&mut self, request: &Message) -> Result<Message> {
         write_message(&mut self.stream, request)?;
+        self.receive()
+    }
+
+    /// Sends bytes as they are.
+    pub fn send(&mut self, bytes: &[u8]) -> Result<()> {
+        self.stream.write_all(bytes)
+    }
+
+    /// Waits for the next response.
+    pub fn receive(&mut self) -> Result<Message> {
         read_message(&mut self.reader)?.ok_or_else(cut)
     }
 }
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -25,6 +25,7 @@
     let held = match case.as_str() {
         "silent-watches" => cases::silent_watches(record, trouble),
         "missed-removals" => cases::missed_removals(record, trouble),
+        "abandoned-pipelines" => cases::abandoned_pipelines(record, trouble),
         "large-bodies" => cases::large_bodies(record, trouble),
         _ => None,
     };
