gateway: confirm copies that are behind the store, so that a silent watch is noticed in time

Cause: a watch of targets, evacuations or hosts waits for 20 s, and nothing else shows that its connection is dead, unless the watch of the policy fails too. Evidence: with one host, no peers and only the waiting watches silent the target is used for 17.7 s; with all connections silent the policy's timeout mends it. Change: the store's versions come from one counter. A copy that is below the highest version that any call has returned, and has not been confirmed for a third of its bound, is queried without a wait. A timeout drops the idle connections to the store. The stand-in of the store returns the counter's version as the platform's store does (docs/PROTOCOL.md); `Evacuate` is read from the bounds; store calls log the version. Test: silent_watches_are_replaced_within_the_drain_bound; on "waiting watches: t1 left after 0ns and was used for 17.7 s", six cases pass now.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -86,6 +86,8 @@
     failed_at: Cell<Option<BootTime>>,
     // When the last successful store call ended.
     succeeded_at: Cell<Option<BootTime>>,
+    // Latest time as of which the store has shown that this host has all changes.
+    confirmed_at: Cell<BootTime>,
     // Since when peers have had a later version.
     behind: Cell<LagTracker>,
     // Start of the store call in progress, if any.
@@ -130,6 +132,8 @@
     started_at: BootTime,
     // Latest store era that other hosts have reported.
     reported_era: Cell<StoreEra>,
+    // Latest store version that a call for any kind has returned.
+    store_version: Cell<Version>,
 }
 
 impl std::fmt::Debug for StoreFollower {
@@ -164,6 +168,7 @@
             outbox: RefCell::new(Vec::new()),
             started_at: boot_time(),
             reported_era: Cell::new(0),
+            store_version: Cell::new(0),
         })
     }
 
@@ -290,6 +295,7 @@
         let now = boot_time();
         match step {
             WatchStep::Listed { list, sent_at } => {
+                self.note_store_version(list.version);
                 state.complete_version.set(list.version);
                 state.forwarded_version.set(list.version);
                 let names: BTreeSet<_> = list
@@ -308,6 +314,7 @@
                 sent_at,
                 version,
             } => {
+                self.note_store_version(version);
                 let is_unchanged = changes.is_empty();
                 self.queue_changes(kind, version, &changes);
                 state.advance_complete(version);
@@ -332,6 +339,7 @@
             return;
         }
         state.listed.set(true);
+        state.confirmed_at.set(at.max(state.confirmed_at.get()));
         if kind == FollowedKind::Policy {
             self.policy.borrow_mut().confirm(at);
         }
@@ -368,9 +376,14 @@
                 ("answered", "watched".to_owned(), changes.len())
             }
         };
+        let version = match step {
+            Some(Ok(WatchStep::Listed { list, .. })) => list.version,
+            Some(Ok(WatchStep::Changed { version, .. })) => *version,
+            _ => 0,
+        };
         let labels = [kind, label];
         self.metrics.watch_steps.with_label_values(&labels).inc();
         info!(self.logger, "store call"; "kind" => kind, "outcome" => outcome, "objects" => objects,
-            "wait_ms" => wait.as_millis(), "held_ms" => elapsed.as_millis());
+            "wait_ms" => wait.as_millis(), "held_ms" => elapsed.as_millis(), "store_version" => version);
     }
 }
--- a/crates/gateway/src/follow/freshness.rs
+++ b/crates/gateway/src/follow/freshness.rs
@@ -6,8 +6,12 @@
     StoreFollower,
 };
 use crate::message::FollowedKind;
-use fighall_core::{clock::boot_time, ids::BootTime};
+use fighall_core::{
+    clock::boot_time,
+    ids::{BootTime, Version},
+};
 use fighall_store::era::era_of;
+use slog::info;
 use std::{rc::Rc, time::Duration};
 
 /// Longest wait of a watch call that confirms the policy. It is well below the revocation bound, and short
@@ -20,6 +24,11 @@
 /// Shortest time between a failed call of a kind and the next one that a missed change causes. It is well
 /// below the drain bound, within which a host has to catch up once the store responds again.
 const FAILED_CALL_SPACING: Duration = Duration::from_millis(800);
+/// Divisor of the drain and evacuation bounds that gives the time for which a copy whose version is below that
+/// of the store may go without a confirmation.
+const CONFIRMATION_DIVISOR: u32 = 3;
+/// The same time for the registered hosts, whose starts and stops heartbeats report as well.
+const HOSTS_CONFIRMATION_TIME: Duration = Duration::from_secs(3);
 /// Time for which a store call in progress is not restarted: a large policy takes half a second on a
 /// slow link, and a restarted call transfers it from the beginning.
 const CALL_GRACE: Duration = Duration::from_millis(1_000);
@@ -88,8 +97,29 @@
         }
     }
 
-    // Tells whether the watch has to call the store now, because the policy is stale or peers have had later
-    // versions for too long.
+    pub(super) fn note_store_version(&self, version: Version) {
+        self.store_version
+            .set(version.max(self.store_version.get()));
+    }
+
+    // Tells whether the store has moved on since a kind was last confirmed, and this was too long ago. Either
+    // the changes are of other kinds, or the connection of the watch is dead: it would have returned.
+    fn is_unconfirmed(&self, kind: FollowedKind, state: &KindState, now: BootTime) -> bool {
+        if self.store_version.get() <= state.complete_version.get() {
+            return false;
+        }
+        let bounds = self.router.borrow().bounds;
+        let max_age = match kind {
+            FollowedKind::Policy => return false,
+            FollowedKind::Targets => bounds.drain / CONFIRMATION_DIVISOR,
+            FollowedKind::Evacuations => bounds.evacuate / CONFIRMATION_DIVISOR,
+            FollowedKind::Hosts => HOSTS_CONFIRMATION_TIME,
+        };
+        now.saturating_sub(state.confirmed_at.get()) >= max_age && !self.has_live_store_watcher(now)
+    }
+
+    // Tells whether the watch has to call the store now, because the policy is stale, the copy is not confirmed
+    // or peers have had later versions for too long.
     fn is_stalled(&self, kind: FollowedKind, state: &KindState, now: BootTime) -> bool {
         if !state.listed.get() || !state.has_long_wait.get() {
             return false;
@@ -104,6 +134,11 @@
         if started_at.is_some_and(|at| now.saturating_sub(at) < CALL_GRACE) {
             return false;
         }
+        if self.is_unconfirmed(kind, state, now) {
+            info!(self.logger, "copy not confirmed"; "kind" => format!("{kind:?}"),
+                "complete" => state.complete_version.get(), "store_version" => self.store_version.get());
+            return true;
+        }
         let peer_version = {
             let fleet = &self.router.borrow().fleet;
             match kind {
@@ -147,10 +182,14 @@
     // watcher has to find out at once whether the store is unreachable: until then it keeps targets that
     // are no longer listed.
     pub(super) fn watch_wait(&self, kind: FollowedKind, state: &KindState) -> Duration {
+        let now = boot_time();
         if kind != FollowedKind::Policy {
-            return LONG_WATCH_WAIT;
+            return if self.is_unconfirmed(kind, state, now) {
+                Duration::ZERO
+            } else {
+                LONG_WATCH_WAIT
+            };
         }
-        let now = boot_time();
         if self.has_live_store_watcher(now) {
             return LONG_WATCH_WAIT;
         }
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -76,7 +76,7 @@
     }
 }
 
-/// Parses the bounds of the settings: `name=milliseconds` for `drain`, `stop`, `apply`, `revoke`
+/// Parses the bounds of the settings: `name=milliseconds` for `drain`, `evacuate`, `stop`, `apply`, `revoke`
 /// and `retry_window`, and `name=number` for `retry_ratio` and `retry_slack`.
 ///
 /// # Errors
@@ -91,6 +91,7 @@
         let number = value.parse::<f64>();
         match (name, millis, number) {
             ("drain", Ok(value), _) => bounds.drain = value,
+            ("evacuate", Ok(value), _) => bounds.evacuate = value,
             ("stop", Ok(value), _) => bounds.stop = value,
             ("apply", Ok(value), _) => bounds.apply = value,
             ("revoke", Ok(value), _) => bounds.revoke = Some(value),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -60,6 +60,8 @@
     pub struct GatewayBounds {
         /// Time within which every host stops sending requests to a leaving target.
         pub drain: Duration,
+        /// Time within which every host stops sending requests into an evacuated availability zone.
+        pub evacuate: Duration,
         /// Time from the request to stop until the platform kills the process.
         pub stop: Duration,
         /// Time within which a new configuration is in force at every host.
@@ -85,6 +87,7 @@
     fn default() -> Self {
         Self {
             drain: Duration::from_millis(2_500),
+            evacuate: Duration::from_secs(5),
             stop: Duration::from_secs(6),
             apply: Duration::from_millis(2_500),
             revoke: Some(Duration::from_secs(5)),
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -299,3 +299,68 @@
         assert!((2..=8).contains(&calls), "{calls} calls within 5 s");
     });
 }
+
+/// Time after a disruption of connections from which the drain and evacuation bounds hold again.
+const DISRUPTION_GRACE: Duration = Duration::from_secs(3);
+/// The drain bound.
+const DRAIN_BOUND: Duration = Duration::from_millis(2_500);
+
+// Follows all kinds on a host without peers until the first watches are waiting, and lets `silence` act on
+// its connections to the store. Returns how long after that a target is used that started to leave `delay`
+// after it.
+async fn time_to_drop_leaving_target(silence: impl Fn(&FaultRelay), delay: Duration) -> Duration {
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let store = PlatformStandIn::start(loopback, 1).await.expect("a store");
+    let policy = serde_json::to_string(&support::policy(1)).expect("a policy");
+    store.put(POLICIES, MAIN_POLICY, &policy);
+    support::list_target(&store, "t1", ([127, 0, 0, 1], 9_000).into());
+    let relay = FaultRelay::start(store.address().to_string()).await;
+    let relay = relay.expect("a relay");
+    let (kernel, router) = new_kernel(relay.address());
+    let follower = Rc::new(StoreFollower::new(&kernel).expect("a follower"));
+    for kind in fighall_gateway::follow::FOLLOWED_KINDS {
+        compio::runtime::spawn(Rc::clone(&follower).follow(kind)).detach();
+    }
+    compio::runtime::spawn(Rc::clone(&follower).run_checks()).detach();
+    compio::time::sleep(Duration::from_secs(4)).await;
+    let takes_work = || {
+        let router = router.borrow();
+        let record = router.roster.get("t1").expect("t1 is listed");
+        router.roster.accepts_requests(boot_time(), record)
+    };
+    assert!(takes_work(), "t1 is used");
+    silence(&relay);
+    let silent_at = boot_time();
+    compio::time::sleep(delay).await;
+    let change = leaving("t1", 0);
+    store.put(native::TARGETS, "t1", &change.value.expect("an entry"));
+    while takes_work() && boot_time() < silent_at + Duration::from_secs(30) {
+        compio::time::sleep(Duration::from_millis(20)).await;
+    }
+    boot_time() - silent_at
+}
+
+async fn check_silence(name: &str, silence: fn(&FaultRelay)) {
+    for delay in [0, 500, 3_500].map(Duration::from_millis) {
+        let elapsed = time_to_drop_leaving_target(silence, delay).await;
+        let bound = DISRUPTION_GRACE.max(delay + DRAIN_BOUND);
+        assert!(
+            elapsed < bound,
+            "{name}: t1 left after {delay:?} and was used for {elapsed:?}"
+        );
+    }
+}
+
+// Regression: a watch whose connection went silent was noticed only when its wait of 20 s was over, unless the
+// watch of the policy failed as well. Hosts sent requests to leaving targets and into evacuated zones for
+// seconds.
+#[test]
+fn silent_watches_are_replaced_within_the_drain_bound() {
+    run(async {
+        check_silence("waiting watches", |relay| {
+            relay.silence_idle(Duration::from_secs(2))
+        })
+        .await;
+        check_silence("all connections", FaultRelay::silence).await;
+    });
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -104,7 +104,7 @@
 pub struct StoreClient {
     options: ClientOptions,
     mapping: StoreMapping,
-    http: cyper::Client,
+    http: RefCell<cyper::Client>,
     budget: RefCell<CallBudget>,
     stats: RefCell<CallStats>,
     rng: RefCell<fastrand::Rng>,
@@ -128,10 +128,7 @@
     ///
     /// Returns an error if the HTTP client cannot be built.
     pub fn new(options: ClientOptions) -> Result<Self> {
-        let http = cyper::Client::builder()
-            .no_proxy()
-            .build()
-            .map_err(Error::exchange)?;
+        let http = RefCell::new(new_http_client()?);
         Ok(Self {
             budget: RefCell::new(CallBudget::new(options.calls_per_second, boot_time())),
             stats: RefCell::new(CallStats::default()),
@@ -311,6 +308,13 @@
     }
 }
 
+fn new_http_client() -> Result<cyper::Client> {
+    cyper::Client::builder()
+        .no_proxy()
+        .build()
+        .map_err(Error::exchange)
+}
+
 fn unexpected_status(status: StatusCode) -> Error {
     Error::Status {
         status: status.as_u16(),
--- a/crates/store/src/client/calls.rs
+++ b/crates/store/src/client/calls.rs
@@ -1,6 +1,6 @@
 //! Execution of calls: rate limit, timeouts and retries.
 
-use super::{RawResponse, StoreClient, unexpected_status};
+use super::{RawResponse, StoreClient, new_http_client, unexpected_status};
 use crate::{
     era::era_of,
     errors::{Error, Result},
@@ -48,6 +48,7 @@
         let sent_at = boot_time();
         let outcome = compio::time::timeout(timeout, self.exchange(call)).await;
         let outcome = outcome.unwrap_or_else(|_| {
+            self.drop_idle_connections();
             Err(Error::Timeout {
                 millis: timeout.as_millis(),
             })
@@ -56,6 +57,14 @@
         outcome
     }
 
+    // A connection that went silent is noticed only by a timeout, and idle ones may have gone silent with it.
+    // Calls in progress keep their connections.
+    fn drop_idle_connections(&self) {
+        if let Ok(http) = new_http_client() {
+            self.http.replace(http);
+        }
+    }
+
     // Revisions are reused in a new era: one of an earlier era may identify another value.
     pub(super) fn depends_on_old_era(&self, call: &StoreCall) -> bool {
         call.base_version()
@@ -97,10 +106,8 @@
     pub(super) async fn exchange(&self, call: &StoreCall) -> Result<RawResponse> {
         let parts = (self.mapping.parts)(call);
         let url = format!("http://{}{}", self.address(), parts.path_and_query);
-        let mut request = self
-            .http
-            .request(parts.method, url)
-            .map_err(Error::exchange)?;
+        let http = self.http.borrow().clone();
+        let mut request = http.request(parts.method, url).map_err(Error::exchange)?;
         if let Some(precondition) = &parts.precondition {
             request = request
                 .header(precondition.header.as_str(), precondition.value.as_str())
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -34,7 +34,6 @@
 struct KindState {
     objects: BTreeMap<String, StoreObject>,
     log: Vec<ObjectChange>,
-    version: Version,
     compacted: Version,
     // The first value of each object, for stale reads.
     oldest: BTreeMap<String, StoreObject>,
@@ -262,7 +261,7 @@
         let kinds = self.kinds.borrow();
         let Some(state) = kinds.get(kind) else {
             return ObjectList {
-                version: 0,
+                version: self.version.get(),
                 objects: Vec::new(),
             };
         };
@@ -275,7 +274,7 @@
             };
         }
         ObjectList {
-            version: state.version,
+            version: self.version.get(),
             objects: state.objects.values().cloned().collect(),
         }
     }
@@ -284,14 +283,14 @@
         let kinds = self.kinds.borrow();
         let Some(state) = kinds.get(kind) else {
             return ChangeBatch {
-                version: 0,
+                version: self.version.get(),
                 compacted: false,
                 changes: Vec::new(),
             };
         };
         let newer = state.log.iter().filter(|change| change.version > after);
         ChangeBatch {
-            version: state.version.max(after),
+            version: self.version.get(),
             // A version that the store does not have is of another era.
             compacted: after < state.compacted || after > self.version.get(),
             changes: newer.cloned().collect(),
@@ -372,7 +371,6 @@
                 state.objects.remove(name);
             }
         }
-        state.version = version;
         state.log.push(ObjectChange {
             name: name.to_owned(),
             version,
--- a/crates/testkit/src/relay.rs
+++ b/crates/testkit/src/relay.rs
@@ -14,9 +14,10 @@
 use socket2::{Domain, Socket, Type};
 use std::{
     cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Bytes passed on at once.
@@ -45,6 +46,10 @@
 struct RelayState {
     accepted: Cell<u64>,
     silent_before: Cell<u64>,
+    // Connections that are silent, whatever their number.
+    silent: RefCell<BTreeSet<u64>>,
+    // When bytes last passed on each connection.
+    passed_at: RefCell<BTreeMap<u64, Instant>>,
     reset_before: Cell<u64>,
     faults: Cell<RelayFaults>,
     target: RefCell<String>,
@@ -112,6 +117,16 @@
         self.state.changed.notify(usize::MAX);
     }
 
+    /// Lets the open connections go silent for good on which nothing has passed for `idle_time`.
+    pub fn silence_idle(&self, idle_time: Duration) {
+        for (number, passed_at) in &*self.state.passed_at.borrow() {
+            if passed_at.elapsed() >= idle_time {
+                self.state.silent.borrow_mut().insert(*number);
+            }
+        }
+        self.state.changed.notify(usize::MAX);
+    }
+
     /// Refuses new connections; open ones go on.
     pub async fn refuse_new(&self) {
         self.full_queue.borrow_mut().clear();
@@ -176,6 +191,7 @@
     let Ok(onward) = TcpStream::connect(target.as_str()).await else {
         return;
     };
+    state.record_pass(number);
     let _ = stream.set_nodelay(true);
     let _ = onward.set_nodelay(true);
     let there = copy(
@@ -203,7 +219,7 @@
             // Both sockets close when both directions have ended.
             return;
         }
-        if number < state.silent_before.get() {
+        if state.is_silent(number) {
             // Both ends keep their sockets and hear nothing any more.
             std::future::pending::<()>().await;
         }
@@ -218,6 +234,7 @@
             Ok(0) | Err(_) => break,
             Ok(_) => {}
         }
+        state.record_pass(number);
         state.pass(direction).await;
         let BufResult(written, _) = to.write_all(bytes).await;
         if written.is_err() {
@@ -227,6 +244,14 @@
 }
 
 impl RelayState {
+    fn is_silent(&self, number: u64) -> bool {
+        number < self.silent_before.get() || self.silent.borrow().contains(&number)
+    }
+
+    fn record_pass(&self, number: u64) {
+        self.passed_at.borrow_mut().insert(number, Instant::now());
+    }
+
     async fn pass(&self, direction: RelayDirection) {
         let delay = self.faults.get().delay;
         if !delay.is_zero() {
