gateway: shares of a rate follow from what all hosts last reported, so that a cut does not use tokens twice

Cause: each side of a cut knows its own rise and the earlier demand of the other side, so that the shares of all add up to more than one until the silent zone counts as dead; both sides also use the same tokens above the low watermark. Change: a host's share and its use of common tokens follow from the time of the oldest report of a live host or zone. The demand of hosts of the own zone counts for 3 s after its last report: hosts report only what they admitted lately. The simulations of limits.rs pass that time to the limiter as the router does; their bounds are unchanged. Conclusion: the bound does not depend on a verdict about a host. Messages are unchanged; a mix of old and new hosts divides as the old ones do and is not played.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -29,8 +29,6 @@
 pub const REMOTE_LIVENESS_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Time without a digest of a zone's relay after which digests of another relay of the zone are accepted.
 const RELAY_LIVENESS_TIMEOUT: Duration = Duration::from_millis(600);
-/// Time without a digest of a zone after which its admissions count as not reported: 1.5 digest intervals.
-const USAGE_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Requests of each organisation that a sender admitted since its last message.
 pub type Admissions = Vec<(OrgId, u64)>;
@@ -141,8 +139,13 @@
             }
             if !same_incarnation {
                 peer.admitted_before.clear();
+                peer.demands.clear();
             }
         }
+        for usage in &heartbeat.usages {
+            peer.demands
+                .insert(usage.organisation.clone(), (now, usage.demand));
+        }
         let mut admitted = Vec::new();
         let is_local = peer.entry.zone == self.zone;
         let gap = now.saturating_sub(peer.heartbeat_at.max(self.started_at));
@@ -278,17 +281,21 @@
         1 + self.peers().filter(|peer| peer.is_live(now)).count()
     }
 
-    /// Tells whether the admissions of all zones with live hosts were reported lately.
-    pub fn is_usage_complete(&self, now: BootTime) -> bool {
-        self.peers().all(|peer| {
+    /// Gets the time at which the live host or zone that has been silent longest last reported its admissions.
+    pub fn reported_at(&self, now: BootTime) -> BootTime {
+        let mut oldest = now;
+        for peer in self.peers().filter(|peer| peer.is_live(now)) {
             let zone = &peer.entry.zone;
-            *zone == self.zone
-                || !peer.is_live(now)
-                || self
-                    .zones
+            let reported_at = if *zone == self.zone {
+                peer.heartbeat_at
+            } else {
+                self.zones
                     .get(zone)
-                    .is_some_and(|view| now.saturating_sub(view.received_at) < USAGE_TIMEOUT)
-        })
+                    .map_or(self.started_at, |view| view.received_at)
+            };
+            oldest = oldest.min(reported_at);
+        }
+        oldest
     }
 
     /// Lists the names of all hosts, including `own_host`, in order.
--- a/crates/gateway/src/fleet/demands.rs
+++ b/crates/gateway/src/fleet/demands.rs
@@ -2,7 +2,11 @@
 
 use super::FleetTable;
 use fighall_core::ids::{BootTime, OrgId, RegionId, ServiceId};
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
+
+/// Time for which the demand of an organisation at a host counts after its last report: hosts report only
+/// organisations whose requests they have admitted lately.
+const DEMAND_TIMEOUT: Duration = Duration::from_secs(3);
 
 impl FleetTable {
     /// Sums the demand of each organisation at all other live hosts, in requests per second.
@@ -20,13 +24,11 @@
     pub fn local_org_demands(&self, now: BootTime) -> BTreeMap<OrgId, f64> {
         let mut demands: BTreeMap<OrgId, f64> = BTreeMap::new();
         for peer in self.live_local_peers(now) {
-            for usage in peer
-                .heartbeat
-                .iter()
-                .flat_map(|heartbeat| &heartbeat.usages)
-            {
-                let demand = demands.entry(usage.organisation.clone()).or_default();
-                *demand += f64::from(usage.demand);
+            for (organisation, (reported_at, demand)) in &peer.demands {
+                if now.saturating_sub(*reported_at) >= DEMAND_TIMEOUT {
+                    continue;
+                }
+                *demands.entry(organisation.clone()).or_default() += f64::from(*demand);
             }
         }
         demands
--- a/crates/gateway/src/fleet/peer.rs
+++ b/crates/gateway/src/fleet/peer.rs
@@ -32,6 +32,8 @@
     pub(super) unlisted: bool,
     pub(super) liveness_timeout: Duration,
     pub(super) admitted_before: BTreeMap<OrgId, u64>,
+    // Demand of each organisation, in requests per second, and when it was reported.
+    pub(super) demands: BTreeMap<OrgId, (BootTime, f32)>,
 }
 
 impl FleetPeer {
@@ -48,6 +50,7 @@
             unlisted: false,
             liveness_timeout,
             admitted_before: BTreeMap::new(),
+            demands: BTreeMap::new(),
         }
     }
 
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -5,13 +5,20 @@
 //! not live, a host gives up an equal share of the rate. When the bucket is nearly empty, a host keeps to
 //! a fair share in proportion to its demand, so that hosts that decide at the same time do not overdraw
 //! the bucket together.
+//!
+//! Shares and the admissions from a full bucket follow from what all hosts knew of each other when the one
+//! that has been silent longest last reported. While reports are missing, for whatever reason, no host's share
+//! grows, and the shares of all still add up to one.
 
 use crate::message::{OrgUsage, to_f32};
 use fighall_core::{
     ids::{BootTime, OrgId},
     value,
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
 
 /// Fraction of the burst below which hosts keep to their fair shares: more than callers at several
 /// times their rate are admitted between two heartbeats.
@@ -30,6 +37,20 @@
 /// Fraction of the burst that all hosts together may admit right after their start, when they do not
 /// know what was admitted before. It stays within the tolerance of quotas.
 const INITIAL_FRACTION: f64 = 0.3;
+/// Age of the demand that a host counts for its own share beyond that of the others' reports: the longest time
+/// that a report takes on its way through the relays.
+const DEMAND_LAG: Duration = Duration::from_millis(800);
+/// Factor by which the hosts together may use more than the common tokens while reports are in transit.
+const COMMON_FACTOR: f64 = 6.0;
+/// Common tokens that each host may use meanwhile in any case, as long as the bucket is fuller than
+/// `HIGH_WATERMARK` of the burst: requests of an organisation within its rate come in small groups.
+const MIN_COMMON_TOKENS: f64 = 4.0;
+const HIGH_WATERMARK: f64 = 0.75;
+/// Fraction of an equal share that a host without demand keeps.
+const MIN_SHARE: f64 = 0.2;
+/// Age of the oldest report of another host from which on hosts keep to their fair shares: 1.5 intervals of
+/// reports.
+const USAGE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time over which one sample of the demand is counted.
 const DEMAND_WINDOW: Duration = Duration::from_millis(250);
 /// Weight of a new sample in the moving average of the demand.
@@ -64,6 +85,20 @@
     sample_started_at: BootTime,
     demand: f64,
     peer_demand: f64,
+    samples: VecDeque<BucketSample>,
+    // The samples at the time up to which all other hosts have reported, and `DEMAND_LAG` before it; none
+    // before the first one.
+    reported_sample: Option<BucketSample>,
+    earlier_sample: Option<BucketSample>,
+}
+
+/// `BucketSample` is what a host knew of an organisation at some time.
+#[derive(Debug, Clone, Copy)]
+struct BucketSample {
+    at: BootTime,
+    admitted: u64,
+    demand: f64,
+    peer_demand: f64,
 }
 
 /// `FleetLimiter` holds this host's replicas of the token buckets of all organisations.
@@ -119,10 +154,13 @@
         self.live_count = live_count;
     }
 
-    /// Sets whether the admissions of all live hosts were reported lately. If not, the replicas hold tokens that
-    /// may be used elsewhere, and this host keeps to its fair shares.
-    pub fn set_usage_complete(&mut self, is_complete: bool) {
-        self.is_usage_complete = is_complete;
+    /// Sets the time up to which all live hosts have reported their admissions and demand, as far as this host
+    /// knows, and records the state of all organisations.
+    pub fn set_reported_at(&mut self, now: BootTime, reported_at: BootTime) {
+        self.is_usage_complete = now.saturating_sub(reported_at) < USAGE_TIMEOUT;
+        for bucket in self.buckets.values_mut() {
+            bucket.record_sample(now, reported_at);
+        }
     }
 
     /// Admits a request of an organisation.
@@ -139,22 +177,20 @@
     ) -> Result<(), Duration> {
         let (live_fraction, equal_share) = self.shares();
         let draw = self.rng.f64();
-        let settled = now.saturating_sub(self.started_at) >= SETTLE_TIME;
+        let is_settled = self.is_settled(now);
         let is_usage_complete = self.is_usage_complete;
         let bucket = self.bucket_mut(organisation, limit);
         bucket.count_request(now);
-        let own_share = if settled {
-            bucket.fair_share(equal_share)
-        } else {
-            equal_share
-        };
+        let own_share = bucket.own_share(equal_share, is_settled);
         bucket.refill(now, limit, live_fraction, own_share);
         let low_tokens = limit.burst * LOW_WATERMARK;
         if bucket.refunded >= 1.0 {
             bucket.refunded -= 1.0;
             return Ok(());
         }
-        let above_low = is_usage_complete && bucket.tokens >= low_tokens.max(1.0);
+        let above_low = is_usage_complete
+            && bucket.tokens >= low_tokens.max(1.0)
+            && bucket.may_use_common_tokens(limit, (own_share + equal_share) / 2.0);
         let has_tokens = bucket.tokens >= 1.0 - limit.burst * MAX_OVERDRAFT;
         let is_admitted = above_low || has_tokens && bucket.use_fair_token(limit, own_share, draw);
         if !is_admitted {
@@ -165,7 +201,9 @@
         }
         bucket.tokens -= 1.0;
         if above_low {
-            bucket.fair_tokens = (bucket.fair_tokens - 1.0).max(0.0);
+            // What a host uses beyond its part of the common tokens is owed by its fair share, as long as the other
+            // hosts do not know of it.
+            bucket.fair_tokens = (bucket.fair_tokens - 1.0).max(-limit.burst);
         }
         bucket.admitted += 1;
         Ok(())
@@ -174,9 +212,10 @@
     /// Refunds the token of a request that did not run.
     pub fn refund(&mut self, now: BootTime, organisation: &str, limit: &OrgLimit) {
         let (live_fraction, equal_share) = self.shares();
+        let is_settled = self.is_settled(now);
         let bucket = self.bucket_mut(organisation, limit);
         bucket.refunded += 1.0;
-        let own_share = bucket.fair_share(equal_share);
+        let own_share = bucket.own_share(equal_share, is_settled);
         bucket.refill(now, limit, live_fraction, own_share);
     }
 
@@ -193,9 +232,11 @@
             return;
         }
         let (live_fraction, equal_share) = self.shares();
+        let is_settled = self.is_settled(now);
         let admitted = u32::try_from(admitted).unwrap_or(u32::MAX);
         let bucket = self.bucket_mut(organisation, limit);
-        bucket.refill(now, limit, live_fraction, equal_share);
+        let own_share = bucket.own_share(equal_share, is_settled);
+        bucket.refill(now, limit, live_fraction, own_share);
         bucket.tokens -= f64::from(admitted);
     }
 
@@ -205,6 +246,10 @@
         (f64::from(self.live_count) / host_count, 1.0 / host_count)
     }
 
+    fn is_settled(&self, now: BootTime) -> bool {
+        now.saturating_sub(self.started_at) >= SETTLE_TIME
+    }
+
     fn bucket_mut(&mut self, organisation: &str, limit: &OrgLimit) -> &mut OrgBucket {
         let fair_tokens = limit.burst * INITIAL_FRACTION / f64::from(self.host_count);
         let started_at = self.started_at;
@@ -327,12 +372,57 @@
         draw < chance
     }
 
-    fn fair_share(&self, equal_share: f64) -> f64 {
-        let total_demand = self.demand + self.peer_demand;
-        if total_demand <= 0.0 {
+    // Gets the fraction of the rate that this host may use. Its demand counts as of an earlier time than that of
+    // the others, whose reports take as long: if the demand rises everywhere, the shares add up to less than one.
+    fn own_share(&self, equal_share: f64, is_settled: bool) -> f64 {
+        let samples = self.reported_sample.zip(self.earlier_sample);
+        let Some((reported, earlier)) = samples.filter(|_| is_settled) else {
+            return equal_share;
+        };
+        if earlier.demand + earlier.peer_demand <= 0.0 {
             return equal_share;
         }
-        (self.demand / total_demand).max(equal_share * 0.2)
+        let total_demand = earlier.demand + reported.peer_demand;
+        (earlier.demand / total_demand).max(equal_share * MIN_SHARE)
+    }
+
+    // Tells whether the admissions that the other hosts may not know of leave something of this host's `part` of
+    // the tokens above the low watermark, as they were before these admissions.
+    fn may_use_common_tokens(&self, limit: &OrgLimit, part: f64) -> bool {
+        let known = self.reported_sample.map_or(0, |sample| sample.admitted);
+        let unknown = u32::try_from(self.admitted - known).unwrap_or(u32::MAX);
+        let unknown = f64::from(unknown);
+        let min_tokens = if self.tokens >= limit.burst * HIGH_WATERMARK {
+            MIN_COMMON_TOKENS
+        } else {
+            1.0
+        };
+        let common_tokens = self.tokens - limit.burst * LOW_WATERMARK + unknown;
+        unknown + 1.0 <= (common_tokens * part * COMMON_FACTOR).max(min_tokens)
+    }
+
+    fn record_sample(&mut self, now: BootTime, reported_at: BootTime) {
+        self.samples.push_back(BucketSample {
+            at: now,
+            admitted: self.admitted,
+            demand: self.demand,
+            peer_demand: self.peer_demand,
+        });
+        let earlier_at = reported_at.saturating_sub(DEMAND_LAG);
+        while self
+            .samples
+            .get(1)
+            .is_some_and(|next| next.at <= earlier_at)
+        {
+            self.samples.pop_front();
+        }
+        self.earlier_sample = self.samples.front().copied();
+        let mut reported = self.samples.iter().rev();
+        let reported = reported.find(|sample| sample.at <= reported_at);
+        self.reported_sample = reported.copied().or(self.earlier_sample);
+        let known = self.reported_sample.map_or(0, |sample| sample.admitted);
+        let unknown = u32::try_from(self.admitted - known).unwrap_or(u32::MAX);
+        self.fair_tokens = self.fair_tokens.max(-f64::from(unknown));
     }
 
     fn count_request(&mut self, now: BootTime) {
--- a/crates/gateway/src/router.rs
+++ b/crates/gateway/src/router.rs
@@ -329,13 +329,13 @@
         }
         self.limiter
             .set_host_counts(self.fleet.host_count(), self.fleet.live_count(now));
-        let is_complete = self.fleet.is_usage_complete(now);
-        self.limiter.set_usage_complete(is_complete);
         let demands = self.fleet.org_demands(now);
         for organisation in policy.organisations.keys() {
             let peer_demand = demands.get(organisation).copied().unwrap_or(0.0);
             self.limiter.set_peer_demand(organisation, peer_demand);
         }
+        let reported_at = self.fleet.reported_at(now);
+        self.limiter.set_reported_at(now, reported_at);
         for service in policy.services.keys() {
             self.update_spill(now, service);
         }
--- a/crates/gateway/tests/admission_fleet/mod.rs
+++ b/crates/gateway/tests/admission_fleet/mod.rs
@@ -23,6 +23,19 @@
 const LOCAL_DELAY: Duration = Duration::from_millis(10);
 const MAX_REMOTE_DELAY_MS: u64 = 60;
 
+/// `FleetCut` is a partition of the hosts: which messages between its two sides are lost. Callers reach all hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FleetCut {
+    /// Between the first `zones` availability zones and the others.
+    Zones { zones: usize },
+    /// From the first availability zone to the others only.
+    Outbound,
+    /// From the other availability zones to the first one only.
+    Inbound,
+    /// Between the first half of the hosts and the others, across zones.
+    Hosts,
+}
+
 /// `FleetShape` is the number of hosts and of availability zones.
 #[derive(Clone, Copy)]
 pub(crate) struct FleetShape {
@@ -61,6 +74,8 @@
     pub(crate) refused: usize,
     /// Percentage of messages between hosts that are lost.
     pub(crate) loss: u32,
+    /// Partition of the hosts, if there is one.
+    pub(crate) cut: Option<FleetCut>,
     rng: fastrand::Rng,
 }
 
@@ -107,6 +122,7 @@
             admitted: Vec::new(),
             refused: 0,
             loss: 0,
+            cut: None,
             rng: fastrand::Rng::with_seed(seed),
         }
     }
@@ -185,7 +201,22 @@
         }
     }
 
-    fn post(&mut self, delay: Duration, to: usize, event: Event) {
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let zones = self.shape.zones;
+        let is_first = |host: usize, count: usize| host % zones < count;
+        match self.cut {
+            None => false,
+            Some(FleetCut::Zones { zones }) => is_first(from, zones) != is_first(to, zones),
+            Some(FleetCut::Outbound) => is_first(from, 1) && !is_first(to, 1),
+            Some(FleetCut::Inbound) => !is_first(from, 1) && is_first(to, 1),
+            Some(FleetCut::Hosts) => (from < self.shape.hosts / 2) != (to < self.shape.hosts / 2),
+        }
+    }
+
+    fn post(&mut self, delay: Duration, from: usize, to: usize, event: Event) {
+        if self.is_cut(from, to) {
+            return;
+        }
         if self.rng.u32(..100) >= self.loss {
             self.push(delay, to, event);
         }
@@ -236,11 +267,11 @@
         let (now, host) = (self.now, &mut self.hosts[number]);
         let counts = (host.fleet.host_count(), host.fleet.live_count(now));
         host.limiter.set_host_counts(counts.0, counts.1);
-        let is_complete = host.fleet.is_usage_complete(now);
-        host.limiter.set_usage_complete(is_complete);
         let demands = host.fleet.org_demands(now);
         let demand = demands.get(ORG).copied().unwrap_or(0.0);
         host.limiter.set_peer_demand(ORG, demand);
+        let reported_at = host.fleet.reported_at(now);
+        host.limiter.set_reported_at(now, reported_at);
     }
 
     fn update(&mut self, number: usize) {
@@ -300,7 +331,7 @@
         }
         for peer in self.zone_hosts(number) {
             let event = Event::Heartbeat(Box::new(heartbeat.clone()));
-            self.post(LOCAL_DELAY, peer, event);
+            self.post(LOCAL_DELAY, number, peer, event);
         }
         if is_relay {
             self.send_digest(number);
@@ -353,7 +384,12 @@
             let address = addresses[self.rng.usize(..addresses.len())];
             let receiver = usize::from(address.port() - 1_000);
             let delay = Duration::from_millis(self.rng.u64(5..MAX_REMOTE_DELAY_MS));
-            self.post(delay, receiver, Event::Digest(Box::new(digest.clone())));
+            self.post(
+                delay,
+                number,
+                receiver,
+                Event::Digest(Box::new(digest.clone())),
+            );
         }
     }
 
@@ -376,7 +412,7 @@
                     forwarded: true,
                     ..digest.clone()
                 };
-                self.post(LOCAL_DELAY, peer, Event::Digest(Box::new(forwarded)));
+                self.post(LOCAL_DELAY, to, peer, Event::Digest(Box::new(forwarded)));
             }
         }
         let (now, limit, host) = (self.now, self.limit, &mut self.hosts[to]);
--- a/crates/gateway/tests/admissions.rs
+++ b/crates/gateway/tests/admissions.rs
@@ -3,7 +3,7 @@
 
 mod admission_fleet;
 
-use admission_fleet::{AdmissionFleet, FleetShape, ORG};
+use admission_fleet::{AdmissionFleet, FleetCut, FleetShape, ORG};
 use fighall_gateway::limit::OrgLimit;
 use std::time::Duration;
 
@@ -197,6 +197,65 @@
     assert!(findings.is_empty(), "{findings:#?}");
 }
 
+// Plays a partition that begins at some time around the rise of an organisation's requests, and ends 5 s later.
+fn play_cut(seed: u64, hosts: usize, zones: usize) -> Option<String> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let rate = f64::from(rng.u32(40..700));
+    let limit = OrgLimit {
+        rate,
+        burst: rate * [0.5, 1.0, 1.5][rng.usize(..3)],
+    };
+    let cut = match rng.u32(..6) {
+        0 | 1 => FleetCut::Zones { zones: 1 },
+        2 => FleetCut::Zones { zones: 2 },
+        3 => FleetCut::Outbound,
+        4 => FleetCut::Inbound,
+        _ => FleetCut::Hosts,
+    };
+    let before = rate * [0.2, 0.5, 0.9][rng.usize(..3)];
+    let factor = [2.0, 4.0, 8.0][rng.usize(..3)];
+    let lead = Duration::from_millis(rng.u64(0..1_200));
+    let mut fleet = AdmissionFleet::new(FleetShape { hosts, zones }, limit, seed);
+    fleet.start_all(START_SPREAD);
+    fleet.run(before, Duration::from_secs(4));
+    let rises_first = rng.bool();
+    if rises_first {
+        fleet.run(before * factor, lead);
+        fleet.cut = Some(cut);
+    } else {
+        fleet.cut = Some(cut);
+        fleet.run(before, lead);
+    }
+    fleet.run(before * factor, Duration::from_secs(5).saturating_sub(lead));
+    fleet.cut = None;
+    fleet.run(before * factor, Duration::from_secs(3));
+    let case = format!(
+        "case {seed}, {hosts} hosts, {limit:?}, {before}/s x {factor}, {cut:?}, {lead:?}, {rises_first}"
+    );
+    excess(&fleet, &limit, &case)
+}
+
+// Regression: in the seconds until a silent zone counted as dead, both sides of a cut knew their own rise of the
+// demand and the earlier demand of the other side, and used the same tokens.
+#[test]
+fn rate_holds_while_the_fleet_is_cut_as_an_overload_begins() {
+    let mut findings = Vec::new();
+    for seed in cases("0..150") {
+        let (hosts, zones) = [(9, 3), (9, 6), (27, 9), (80, 9)][(seed % 4) as usize];
+        findings.extend(play_cut(seed, hosts, zones));
+    }
+    assert!(findings.is_empty(), "{findings:#?}");
+}
+
+#[test]
+fn rate_holds_while_300_hosts_are_cut_as_an_overload_begins() {
+    let mut findings = Vec::new();
+    for seed in cases("0..4") {
+        findings.extend(play_cut(seed, 300, 9));
+    }
+    assert!(findings.is_empty(), "{findings:#?}");
+}
+
 fn play_organisation_within_its_rate(hosts: usize, zones: usize) {
     let limit = OrgLimit {
         rate: 50.0,
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -16,6 +16,10 @@
 // Time after which a request is found not to have run.
 const NOT_RUN_DELAY: Duration = Duration::from_millis(1_000);
 
+// Interval at which hosts update what they know of each other, and the same in steps.
+const TICK: Duration = Duration::from_millis(200);
+const TICK_STEPS: u32 = 20;
+
 // Simulates hosts that admit requests and report them to each other with a delay, in steps of 10 ms.
 struct SimulatedHosts {
     hosts: Vec<FleetLimiter>,
@@ -175,6 +179,13 @@
                 limiter.set_peer_demand(ORG, total_demand - demands[host]);
             }
         }
+        if self.now.as_millis().is_multiple_of(TICK.as_millis()) {
+            // The latest heartbeats arrived between one interval and two hops ago.
+            let reported_at = self.now - TICK - self.delay * 2;
+            for limiter in &mut self.hosts {
+                limiter.set_reported_at(self.now, reported_at);
+            }
+        }
     }
 
     fn max_admitted_within(&self, window: Duration) -> u32 {
@@ -255,8 +266,11 @@
     let mut now = Duration::from_secs(10);
     let mut admitted = 0;
     limiter.set_host_counts(9, 3);
-    for _ in 0..1_000 {
+    for step in 0..1_000 {
         now += STEP;
+        if step % TICK_STEPS == 0 {
+            limiter.set_reported_at(now, now);
+        }
         for _ in 0..5 {
             admitted += u32::from(limiter.admit(now, ORG, &limit).is_ok());
         }
@@ -368,6 +382,9 @@
     // 80 requests per second over the fleet, a quarter of them at this host, each attempted five times.
     for step in 0..2_000_u32 {
         let now = START + Duration::from_secs(10) + STEP * step;
+        if step % TICK_STEPS == 0 {
+            limiter.set_reported_at(now, now);
+        }
         if step % 5 != 0 {
             continue;
         }
