net: notice a caller's close while bytes of later requests are not read

Cause: a chunked body was not framed, so that all bytes of the connection went to hyper, which looks for the end of a connection only while its own buffer is empty. Evidence: the request in progress is not cancelled either, and one behind it starts; without a chunked one before them all are cancelled (requests_of_a_caller_that_disconnects_are_cancelled). Change: chunked bodies are scanned as they arrive, so that hyper gets one request at a time; what is ambiguous is handed over as before, and nothing starts early behind a chunked request. The sequences of any_sequence_of_requests_in_any_segments_is_answered_in_order contain chunked bodies now. A caller that only closes its sending side is treated as gone, as it was without a chunked body.

--- a/crates/net/src/framing.rs
+++ b/crates/net/src/framing.rs
@@ -15,8 +15,10 @@
 pub struct RequestFrame {
     /// Length of the head in bytes, with the empty line after it.
     pub head_length: usize,
-    /// Length of the body in bytes.
+    /// Length of the body in bytes; for a chunked body, of the part that was scanned.
     pub body_length: u64,
+    /// Whether the body is chunked.
+    pub is_chunked: bool,
     /// Whether the method is safe (RFC 9110, section 9.2.1).
     pub is_safe: bool,
     /// Whether the connection closes after the response to this request.
@@ -30,8 +32,7 @@
     Partial,
     /// A complete head.
     Complete(RequestFrame),
-    /// A malformed or too large head, or one that doesn't determine where its request ends, such as that
-    /// of a chunked body.
+    /// A malformed or too large head, or one that doesn't determine where its request ends.
     Unframed,
 }
 
@@ -45,7 +46,7 @@
     /// Tells whether the request may run concurrently with others on its connection: its method is safe,
     /// and it has no body that would have to be read first (RFC 9112, section 9.3.2).
     pub fn may_run_concurrently(&self) -> bool {
-        self.is_safe && self.body_length == 0
+        self.is_safe && self.body_length == 0 && !self.is_chunked
     }
 }
 
@@ -92,14 +93,21 @@
 fn determine_frame(parsed: &httparse::Request<'_, '_>, head_length: usize) -> Option<RequestFrame> {
     let method: Method = parsed.method?.parse().ok()?;
     let mut body_length = None;
+    let mut is_chunked = false;
     let mut closes_connection = version(parsed) != Version::HTTP_11;
     for header in parsed.headers.iter() {
         let is_header = |name: &HeaderName| header.name.eq_ignore_ascii_case(name.as_str());
-        if is_header(&TRANSFER_ENCODING) || is_header(&UPGRADE) {
+        if is_header(&UPGRADE) {
             return None;
         }
         let text = std::str::from_utf8(header.value);
-        if is_header(&CONTENT_LENGTH) {
+        if is_header(&TRANSFER_ENCODING) {
+            let encoding = text.ok()?.trim();
+            if is_chunked || !encoding.eq_ignore_ascii_case("chunked") {
+                return None;
+            }
+            is_chunked = true;
+        } else if is_header(&CONTENT_LENGTH) {
             let length: u64 = text.ok()?.trim().parse().ok()?;
             if body_length.replace(length).is_some() {
                 return None;
@@ -109,9 +117,15 @@
             closes_connection |= options.any(|option| option.trim().eq_ignore_ascii_case("close"));
         }
     }
+    // The end of such a request is not certain (RFC 9112, sections 6.1 and 6.3).
+    let is_old = version(parsed) != Version::HTTP_11;
+    if is_chunked && (is_old || body_length.is_some()) {
+        return None;
+    }
     (method != Method::CONNECT).then_some(RequestFrame {
         head_length,
         body_length: body_length.unwrap_or(0),
+        is_chunked,
         is_safe: method.is_safe(),
         closes_connection,
     })
--- a/crates/net/src/pipeline.rs
+++ b/crates/net/src/pipeline.rs
@@ -3,12 +3,13 @@
 
 use crate::{
     body::ProxyBody,
+    chunks::{ChunkScanner, ScanResult},
     framing::{FrameResult, RequestFrame, parse_frame, parse_head},
     stream::{READ_SIZE, SocketStream},
 };
 use compio::runtime::JoinHandle;
 use event_listener::Event;
-use futures_util::future::LocalBoxFuture;
+use futures_util::{FutureExt, future::LocalBoxFuture};
 use http::{Response, header::CONNECTION, request::Parts};
 use hyper::rt::ReadBufCursor;
 use std::{
@@ -18,12 +19,15 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 /// Largest number of requests on one connection that run concurrently with the first one.
 const MAX_CONCURRENT: usize = 16;
 /// Largest number of bytes to read ahead while a request is being served.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1_024;
+/// Interval at which a connection with that many bytes is checked for its end, which reading would not show.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// `EarlyResponse` is the task of a request that was started ahead of its turn; it yields the response.
 pub type EarlyResponse = JoinHandle<Response<ProxyBody>>;
@@ -81,6 +85,8 @@
     requests: VecDeque<QueuedRequest>,
     framed_bytes: u64,
     request_count: u64,
+    // Position in the chunked body of the last of these requests or of the current one, until its end.
+    scanner: Option<ChunkScanner>,
     // Bytes still to hand over of the current request.
     remaining_bytes: u64,
     // Whether the current request awaits its response, and whether others may run concurrently with it.
@@ -240,11 +246,26 @@
             else {
                 return;
             };
+            if let Some(scanner) = &mut self.scanner {
+                let scanned = scanner.scan(bytes);
+                let length = match scanned {
+                    ScanResult::Partial | ScanResult::Malformed => bytes.len(),
+                    ScanResult::Complete(length) => length,
+                };
+                if scanned != ScanResult::Partial {
+                    self.scanner = None;
+                }
+                // hyper rejects a malformed body when it reaches it.
+                self.unframed = scanned == ScanResult::Malformed;
+                self.extend_last_request(length);
+                continue;
+            }
             match parse_frame(bytes) {
                 FrameResult::Partial => return,
                 FrameResult::Unframed => self.unframed = true,
                 FrameResult::Complete(frame) => {
                     self.framed_bytes += frame.length();
+                    self.scanner = frame.is_chunked.then(ChunkScanner::default);
                     self.requests.push_back(QueuedRequest {
                         frame,
                         number: self.request_count,
@@ -256,6 +277,16 @@
         }
     }
 
+    // Adds bytes of a chunked body to the request that they belong to.
+    fn extend_last_request(&mut self, length: usize) {
+        let length = u64::try_from(length).unwrap_or(u64::MAX);
+        self.framed_bytes += length;
+        match self.requests.back_mut() {
+            Some(request) => request.frame.body_length += length,
+            None => self.remaining_bytes += length,
+        }
+    }
+
     fn read_into(&mut self, cursor: &mut ReadBufCursor<'_>) -> usize {
         let may_begin =
             self.remaining_bytes == 0 && !self.awaits_response && !self.must_not_begin_next();
@@ -287,16 +318,41 @@
 }
 
 /// `PipelinedStream` is a caller's connection that hands its requests to hyper one at a time.
-#[derive(Debug)]
 pub struct PipelinedStream {
     stream: SocketStream,
     pipeline: Rc<RequestPipeline>,
+    close_check: Option<LocalBoxFuture<'static, ()>>,
+}
+
+impl std::fmt::Debug for PipelinedStream {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PipelinedStream")
+            .field("stream", &self.stream)
+            .field("pipeline", &self.pipeline)
+            .finish_non_exhaustive()
+    }
 }
 
 impl PipelinedStream {
     /// Wraps a connection; `pipeline` must not be shared with another one.
     pub fn new(stream: SocketStream, pipeline: Rc<RequestPipeline>) -> Self {
-        Self { stream, pipeline }
+        Self {
+            stream,
+            pipeline,
+            close_check: None,
+        }
+    }
+
+    // Completes once the caller has closed a connection that is not read.
+    fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        while !self.stream.is_closed_by_peer() {
+            let check = self
+                .close_check
+                .get_or_insert_with(|| compio::time::sleep(CLOSE_CHECK_INTERVAL).boxed_local());
+            ready!(check.poll_unpin(cx));
+            self.close_check = None;
+        }
+        Poll::Ready(())
     }
 }
 
@@ -313,10 +369,10 @@
             if copied > 0 {
                 return Poll::Ready(Ok(()));
             }
-            // The task of the connection wakes when the response is ready, and then reads from the
+            // The task of the connection also wakes when the response is ready, and then reads from the
             // buffer.
             if pipeline.is_full() {
-                return Poll::Pending;
+                return self.poll_closed(cx).map(Ok);
             }
             let mut bytes = [0; READ_SIZE];
             let read = ready!(self.stream.poll_read_bytes(cx, &mut bytes))?;
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -1,9 +1,10 @@
 //! Adapter from sockets to hyper's I/O traits. It has no buffers of its own: hyper already has some for
 //! each connection, and a host has hundreds of connections.
 
-use compio::{net::TcpStream, runtime::fd::PollFd};
+use compio::{net::TcpStream, runtime::fd::PollFd as SocketFd};
 use futures_util::{AsyncRead, AsyncWrite};
 use hyper::rt::ReadBufCursor;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::{SockRef, Socket};
 use std::{
     io::{IoSlice, Result},
@@ -17,7 +18,7 @@
 /// `SocketStream` is a connected socket.
 #[derive(Debug)]
 pub struct SocketStream {
-    socket: PollFd<Socket>,
+    socket: SocketFd<Socket>,
 }
 
 impl SocketStream {
@@ -41,6 +42,16 @@
     ) -> Poll<Result<usize>> {
         AsyncRead::poll_read(Pin::new(&mut self.socket), cx, bytes)
     }
+
+    /// Tells whether the other side has closed or reset the connection, also while bytes that it sent before
+    /// have not been read.
+    pub fn is_closed_by_peer(&self) -> bool {
+        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let mut descriptors = [PollFd::new(&self.socket, PollFlags::RDHUP)];
+        let at_once = Timespec::default();
+        let polled = poll(&mut descriptors, Some(&at_once));
+        polled.is_ok() && descriptors[0].revents().intersects(closed)
+    }
 }
 
 impl hyper::rt::Read for SocketStream {
--- a/crates/net/tests/framing.rs
+++ b/crates/net/tests/framing.rs
@@ -1,6 +1,9 @@
 //! Framing of requests in the bytes of a connection.
 
-use fighall_net::framing::{FrameResult, RequestFrame, parse_frame, parse_head};
+use fighall_net::{
+    chunks::{ChunkScanner, ScanResult},
+    framing::{FrameResult, RequestFrame, parse_frame, parse_head},
+};
 
 fn frame(head: &str) -> Option<RequestFrame> {
     match parse_frame(head.as_bytes()) {
@@ -28,6 +31,10 @@
         ("GET / HTTP/1.1\r\n\r\n", true),
         ("HEAD / HTTP/1.1\r\n\r\n", true),
         ("GET / HTTP/1.1\r\ncontent-length: 1\r\n\r\n", false),
+        (
+            "GET / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n",
+            false,
+        ),
         ("POST / HTTP/1.1\r\n\r\n", false),
         ("PUT / HTTP/1.1\r\n\r\n", false),
         ("DELETE / HTTP/1.1\r\n\r\n", false),
@@ -41,7 +48,11 @@
 #[test]
 fn requests_without_a_determined_length_are_not_framed() {
     let heads = [
-        "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n",
+        "POST / HTTP/1.0\r\ntransfer-encoding: chunked\r\n\r\n",
+        "POST / HTTP/1.1\r\ntransfer-encoding: gzip, chunked\r\n\r\n",
+        "POST / HTTP/1.1\r\ntransfer-encoding: identity\r\n\r\n",
+        "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n",
+        "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\ncontent-length: 3\r\n\r\n",
         "GET / HTTP/1.1\r\nupgrade: h2c\r\n\r\n",
         "CONNECT a:1 HTTP/1.1\r\n\r\n",
         "POST / HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n",
@@ -57,6 +68,51 @@
     }
 }
 
+#[test]
+fn a_chunked_body_ends_after_its_last_line_in_any_segments() {
+    let bodies = [
+        "0\r\n\r\n",
+        "3\r\nabc\r\n00a;name=\"x\"\r\n0\r\n\r\n01234\r\n0\r\n\r\n",
+        "A \r\n0123456789\r\n0;last\r\nname: value\r\nother:\r\n\r\n",
+    ];
+    for body in bodies {
+        let text = format!("{body}GET / ");
+        for end in 0..body.len() {
+            let mut scanner = ChunkScanner::default();
+            let (first, rest) = text.as_bytes().split_at(end);
+            assert_eq!(scanner.scan(first), ScanResult::Partial, "{body} {end}");
+            let left = body.len() - end;
+            assert_eq!(
+                scanner.scan(rest),
+                ScanResult::Complete(left),
+                "{body} {end}"
+            );
+        }
+    }
+}
+
+#[test]
+fn malformed_chunked_bodies_are_recognized() {
+    let long_line = format!("1;{}", "x".repeat(5_000));
+    let bodies = [
+        "\r\n",
+        "x\r\n",
+        "-1\r\n",
+        "1\n",
+        "1;a\nb",
+        "1\r\nab\r\n",
+        "1\r\na\n",
+        "0\r\nname: value\n",
+        "0\r\n\rx",
+        "1000000000000000\r\n",
+        &long_line,
+    ];
+    for body in bodies {
+        let scanned = ChunkScanner::default().scan(body.as_bytes());
+        assert_eq!(scanned, ScanResult::Malformed, "{body}");
+    }
+}
+
 #[test]
 fn requests_that_close_the_connection_are_recognized() {
     let heads = [
--- a/crates/net/tests/pipeline.rs
+++ b/crates/net/tests/pipeline.rs
@@ -101,6 +101,14 @@
     format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
 }
 
+fn chunked(path: &str, chunks: &[&str]) -> String {
+    let mut text = format!("POST {path} HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n");
+    for chunk in chunks.iter().filter(|chunk| !chunk.is_empty()) {
+        text.push_str(&format!("{:x};part=1\r\n{chunk}\r\n", chunk.len()));
+    }
+    text + "0\r\ntrailer: x\r\n\r\n"
+}
+
 fn post(path: &str, body: &str) -> String {
     let length = body.len();
     format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {length}\r\n\r\n{body}")
@@ -210,6 +218,41 @@
     });
 }
 
+// Sends `requests`, closes the connection while the first one is being served, and waits until the others
+// would have started. Returns how many requests were started and how many of them cancelled.
+async fn play_disconnect(requests: &str) -> (usize, usize) {
+    let (host, _kernel, address) = start_host(WORK_TIME * 3).await;
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    write(&mut stream, requests).await;
+    compio::time::sleep(WORK_TIME).await;
+    assert_eq!(host.running.get(), 1);
+    drop(stream);
+    compio::time::sleep(WORK_TIME * 4).await;
+    let started = host.started.borrow().len();
+    (started, host.cancelled.get())
+}
+
+// Regression: a close was not noticed while bytes of later requests waited behind a chunked body. The request
+// in progress went on, and those behind it ran after their caller had left.
+#[test]
+fn requests_behind_a_chunked_body_are_cancelled_when_the_caller_disconnects() {
+    run(async {
+        let requests = [chunked("/a", &["abc", "de"]), get("/b"), get("/c")];
+        assert_eq!(play_disconnect(&requests.concat()).await, (1, 1));
+    });
+}
+
+// Regression: the same behind more bytes of later requests than are read ahead.
+#[test]
+fn requests_before_a_full_buffer_are_cancelled_when_the_caller_disconnects() {
+    run(async {
+        for body in [70_000, 90_000] {
+            let requests = [post("/a", "x"), post("/b", &"y".repeat(body))];
+            assert_eq!(play_disconnect(&requests.concat()).await, (1, 1));
+        }
+    });
+}
+
 #[test]
 fn a_graceful_shutdown_answers_all_requests_that_were_started() {
     run(async {
@@ -280,6 +323,16 @@
         let mut expected = Vec::new();
         for number in 0..source.int_in_range(1..=24_usize)? {
             let path = format!("/{number}");
+            if source.ratio(1, 5)? {
+                let text_chunks = [get("/no"), "y".repeat(9_000), "0\r\n\r\n".to_owned()];
+                let mut chunks = Vec::new();
+                for _ in 0..source.int_in_range(0..=3_usize)? {
+                    chunks.push(source.choose(&text_chunks)?.as_str());
+                }
+                text.push_str(&chunked(&path, &chunks));
+                expected.push(format!("{path}{}", chunks.concat()));
+                continue;
+            }
             if source.ratio(2, 3)? {
                 text.push_str(&get(&path));
                 expected.push(path);
