gateway: return a promise that a request did not run only if its target or host made it

Operators saw requests that ran after they had been refused with 429, 503, 408 or 421 (no logs; their runs could not be repeated here). Cause, by tests of our own: a target's 408, 429 or 503 without the statement that the request did not run was returned as it came; a refusal in response to a passed request was returned without any sign that the host made it, for this request. Change: for a request that may run once such a status becomes 502 of our own. A host returns the identifier of a passed request in `fighall-passed`, and the passing host believes a refusal only with it. Rejections are logged with the reason for which they are believed, passed requests with their status. Conclusion: two ways are mended, that they are what was reported is suspected. An old host's refusal of a passed request becomes 502 while versions are mixed.

--- a/crates/gateway/src/placement_log.rs
+++ b/crates/gateway/src/placement_log.rs
@@ -21,8 +21,22 @@
 ) -> &'l str {
     let (label, detail) = match outcome {
         AttemptOutcome::Answered(response) => ("answered", response.status.as_u16().to_string()),
-        AttemptOutcome::Rejected { misdirected: true } => ("misdirected", String::new()),
-        AttemptOutcome::Rejected { .. } => ("rejected", String::new()),
+        AttemptOutcome::Rejected {
+            misdirected,
+            identified,
+        } => {
+            let label = if *misdirected {
+                "misdirected"
+            } else {
+                "rejected"
+            };
+            let evidence = if *identified {
+                "response with the request's identifier"
+            } else {
+                "first response of the connection, without an identifier"
+            };
+            (label, evidence.to_owned())
+        }
         AttemptOutcome::NotSent { cause, .. } => ("not_sent", cause.clone()),
         AttemptOutcome::Unknown {
             cause,
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -19,7 +19,7 @@
     response_body::ResponseBudget,
     reuse::IdleLimit,
     router::RequestRouter,
-    sender::{AttemptOutcome, BufferedResponse},
+    sender::{AttemptOutcome, BufferedResponse, PASSED_HEADER, promises_no_run},
     settings::GatewaySettings,
 };
 use bytes::Bytes;
@@ -105,6 +105,7 @@
         let arrived_at = boot_time();
         let metadata = (self.dialect.read_caller_headers)(request.headers());
         let id = metadata.request.clone();
+        let is_passed = request.headers().contains_key(PASSED_HEADER);
         let mut route_name = String::new();
         let result = self
             .handle(request, metadata, arrived_at, &turn, &mut route_name)
@@ -117,14 +118,18 @@
         self.metrics
             .count_request(&route_name, &outcome, arrived_at, now);
         info!(self.logger, "request ended";
-            "request" => id,
+            "request" => &id,
             "route" => route_name,
             "outcome" => outcome,
             "policy" => self.policy.borrow().policy().map(|policy| policy.version),
             "policy_age_ms" => self.policy.borrow().age(now).map(|age| age.as_millis()),
             "elapsed_ms" => now.saturating_sub(arrived_at).as_millis(),
         );
-        self.respond(result)
+        let mut response = self.respond(result);
+        if is_passed && let Ok(id) = HeaderValue::from_str(&id) {
+            response.headers_mut().insert(PASSED_HEADER, id);
+        }
+        response
     }
 
     fn respond(
@@ -310,6 +315,10 @@
             request.set_consumed(true);
             let outcome = self.run_attempt(request, &query, &placement).await;
             if let AttemptOutcome::Answered(response) = outcome {
+                if !request.route.idempotent && promises_no_run(response.status) {
+                    record.outcome_unknown = true;
+                    return record.into_result(RefusalCause::Unknown, FAILED_RETRY_AFTER);
+                }
                 if !response.status.is_server_error() || !request.route.idempotent {
                     return Ok(response);
                 }
--- a/crates/gateway/src/proxy/attempts.rs
+++ b/crates/gateway/src/proxy/attempts.rs
@@ -107,7 +107,9 @@
                     );
                 }
             }
-            AttemptOutcome::Rejected { misdirected: false } => {
+            AttemptOutcome::Rejected {
+                misdirected: false, ..
+            } => {
                 router.crashes.record_alive(target, sent_at);
             }
             AttemptOutcome::Unknown { closed: true, .. } => {
@@ -172,7 +174,9 @@
     ) {
         let is_success = match outcome {
             AttemptOutcome::Answered(response) => response.status.is_success(),
-            AttemptOutcome::Rejected { misdirected: false } => false,
+            AttemptOutcome::Rejected {
+                misdirected: false, ..
+            } => false,
             _ => return,
         };
         let mut router = self.router.borrow_mut();
@@ -193,7 +197,13 @@
         metadata: &ResponseMetadata,
         outcome: &AttemptOutcome,
     ) {
-        let misdirected = matches!(outcome, AttemptOutcome::Rejected { misdirected: true });
+        let misdirected = matches!(
+            outcome,
+            AttemptOutcome::Rejected {
+                misdirected: true,
+                ..
+            }
+        );
         let identifier = metadata.request.as_ref();
         if misdirected || identifier.is_some_and(|identifier| *identifier != request.prepared.id) {
             return;
@@ -233,7 +243,9 @@
             router.record_response(now, sent, elapsed, good);
             false
         }
-        AttemptOutcome::Rejected { misdirected: true }
+        AttemptOutcome::Rejected {
+            misdirected: true, ..
+        }
         | AttemptOutcome::NotSent {
             unreachable: true, ..
         } => router.record_unreachable(now, sent, service),
--- a/crates/gateway/src/proxy/passing.rs
+++ b/crates/gateway/src/proxy/passing.rs
@@ -81,6 +81,10 @@
                 options,
             )
             .await;
+            let status = match &outcome {
+                AttemptOutcome::Answered(response) => Some(response.status.as_u16()),
+                _ => None,
+            };
             let (label, result) = match outcome {
                 AttemptOutcome::Answered(response) => ("answered", Some(Ok(response))),
                 AttemptOutcome::Unknown {
@@ -95,6 +99,7 @@
                 "request" => &request.id,
                 "to" => host,
                 "outcome" => label,
+                "status" => status,
                 "held_ms" => boot_time().saturating_sub(sent_at).as_millis(),
             );
             self.metrics.passed.with_label_values(&[label]).inc();
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -25,7 +25,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Idle time after which a connection to another host is not reused: less than any idle timeout of its callers.
 const HOST_IDLE_LIMIT: Duration = Duration::from_millis(500);
-/// Marks a request that another host has passed on; its receiver does not pass it on again.
+/// Marks a request that another host has passed on; its receiver does not pass it on again, and returns it in the
+/// response with the request's identifier.
 pub const PASSED_HEADER: HeaderName = HeaderName::from_static("fighall-passed");
 /// Margin subtracted from the idle timeout that a target announces. A request takes up to a round trip
 /// between regions to arrive, and targets announce whole seconds.
@@ -67,6 +68,8 @@
     Rejected {
         /// Whether the address belongs to another target by now (status 421).
         misdirected: bool,
+        /// Whether the response bears the request's identifier; otherwise it is the first one of its connection.
+        identified: bool,
     },
     /// The request was not sent.
     NotSent {
@@ -183,17 +186,34 @@
     let Ok((metadata, outcome, complete)) = compio::time::timeout(time_left, exchange).await else {
         return no_response(time_left);
     };
-    let AttemptOutcome::Answered(response) = &outcome else {
+    let AttemptOutcome::Answered(mut response) = outcome else {
         return outcome;
     };
     let identifier_matches = metadata.request.as_deref() == Some(request.id.as_str());
     if response.status.is_success() && !(identifier_matches && metadata.from_target) {
         return invalid_response("response is not that of a target to the request".to_owned());
     }
+    // Another program may run at the address by now, and a kept connection may return a response twice.
+    let passed = response.headers.remove(PASSED_HEADER);
+    let is_of_host = passed.is_some_and(|id| id.as_bytes() == request.id.as_bytes());
+    if promises_no_run(response.status) && !is_of_host {
+        return invalid_response("refusal is not that of a host to the request".to_owned());
+    }
     if complete && connection.sender.is_ready() {
         pool.put_with_idle_timeout(connection, HOST_IDLE_LIMIT);
     }
-    outcome
+    AttemptOutcome::Answered(response)
+}
+
+/// Tells whether a status means to callers that the request did not run and never will.
+pub fn promises_no_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
 }
 
 fn no_response(time_left: Duration) -> AttemptOutcome {
@@ -337,7 +357,10 @@
     // a rejection may be one of an earlier request.
     let rejected = misdirected || metadata.not_run;
     if rejected && (identifier_matches || metadata.request.is_none() && is_first) {
-        return AttemptOutcome::Rejected { misdirected };
+        return AttemptOutcome::Rejected {
+            misdirected,
+            identified: identifier_matches,
+        };
     }
     let trusted = !response.status.is_success() || metadata.from_target;
     if identifier_matches && trusted {
