gateway: send a watch that may be silent again, instead of a query and a watch

Change: a watch that was sent before a later version became known, and has not returned 1 s before its bound has passed, is sent again on a new connection: one call, and later. The age counts from the call, as a change that a silent watch does not return was made after it was sent.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -86,8 +86,9 @@
     failed_at: Cell<Option<BootTime>>,
     // When the last successful store call ended.
     succeeded_at: Cell<Option<BootTime>>,
-    // Latest time as of which the store has shown that this host has all changes.
-    confirmed_at: Cell<BootTime>,
+    // Store version that was known when the latest call was sent. The call returns at once if the kind has
+    // changed up to it.
+    sent_version: Cell<Version>,
     // Since when peers have had a later version.
     behind: Cell<LagTracker>,
     // Start of the store call in progress, if any.
@@ -220,6 +221,7 @@
             let started_at = boot_time();
             let woken = state.wake.listen();
             state.call_started_at.set(Some(started_at));
+            state.sent_version.set(self.store_version.get());
             let step = {
                 let step = watch.step(&self.store).fuse();
                 let woken = woken.fuse();
@@ -339,7 +341,6 @@
             return;
         }
         state.listed.set(true);
-        state.confirmed_at.set(at.max(state.confirmed_at.get()));
         if kind == FollowedKind::Policy {
             self.policy.borrow_mut().confirm(at);
         }
--- a/crates/gateway/src/follow/freshness.rs
+++ b/crates/gateway/src/follow/freshness.rs
@@ -24,11 +24,11 @@
 /// Shortest time between a failed call of a kind and the next one that a missed change causes. It is well
 /// below the drain bound, within which a host has to catch up once the store responds again.
 const FAILED_CALL_SPACING: Duration = Duration::from_millis(800);
-/// Divisor of the drain and evacuation bounds that gives the time for which a copy whose version is below that
-/// of the store may go without a confirmation.
-const CONFIRMATION_DIVISOR: u32 = 3;
-/// The same time for the registered hosts, whose starts and stops heartbeats report as well.
-const HOSTS_CONFIRMATION_TIME: Duration = Duration::from_secs(3);
+/// Time from the check that finds a copy behind the store to the end of its use: the check's interval, a call on a
+/// new connection and the forwarding within the region.
+const CONFIRMATION_TIME: Duration = Duration::from_millis(1_000);
+/// Time within which every host is aware of the registered hosts: that in which the directory drops one.
+const HOSTS_BOUND: Duration = Duration::from_secs(6);
 /// Time for which a store call in progress is not restarted: a large policy takes half a second on a
 /// slow link, and a restarted call transfers it from the beginning.
 const CALL_GRACE: Duration = Duration::from_millis(1_000);
@@ -102,20 +102,24 @@
             .set(version.max(self.store_version.get()));
     }
 
-    // Tells whether the store has moved on since a kind was last confirmed, and this was too long ago. Either
-    // the changes are of other kinds, or the connection of the watch is dead: it would have returned.
+    // Tells whether the store has moved on since the call in progress was sent, and this was too long ago. Either
+    // the changes are of other kinds, or the connection of the call is dead: it would have returned.
     fn is_unconfirmed(&self, kind: FollowedKind, state: &KindState, now: BootTime) -> bool {
-        if self.store_version.get() <= state.complete_version.get() {
+        let covered_version = state.complete_version.get().max(state.sent_version.get());
+        if self.store_version.get() <= covered_version {
             return false;
         }
         let bounds = self.router.borrow().bounds;
-        let max_age = match kind {
+        let bound = match kind {
             FollowedKind::Policy => return false,
-            FollowedKind::Targets => bounds.drain / CONFIRMATION_DIVISOR,
-            FollowedKind::Evacuations => bounds.evacuate / CONFIRMATION_DIVISOR,
-            FollowedKind::Hosts => HOSTS_CONFIRMATION_TIME,
+            FollowedKind::Targets => bounds.drain,
+            FollowedKind::Evacuations => bounds.evacuate,
+            FollowedKind::Hosts => HOSTS_BOUND,
         };
-        now.saturating_sub(state.confirmed_at.get()) >= max_age && !self.has_live_store_watcher(now)
+        let max_age = bound.saturating_sub(CONFIRMATION_TIME);
+        let started_at = state.call_started_at.get();
+        started_at.is_some_and(|at| now.saturating_sub(at) >= max_age)
+            && !self.has_live_store_watcher(now)
     }
 
     // Tells whether the watch has to call the store now, because the policy is stale, the copy is not confirmed
@@ -137,6 +141,7 @@
         if self.is_unconfirmed(kind, state, now) {
             info!(self.logger, "copy not confirmed"; "kind" => format!("{kind:?}"),
                 "complete" => state.complete_version.get(), "store_version" => self.store_version.get());
+            self.store.drop_idle_connections();
             return true;
         }
         let peer_version = {
@@ -184,11 +189,7 @@
     pub(super) fn watch_wait(&self, kind: FollowedKind, state: &KindState) -> Duration {
         let now = boot_time();
         if kind != FollowedKind::Policy {
-            return if self.is_unconfirmed(kind, state, now) {
-                Duration::ZERO
-            } else {
-                LONG_WATCH_WAIT
-            };
+            return LONG_WATCH_WAIT;
         }
         if self.has_live_store_watcher(now) {
             return LONG_WATCH_WAIT;
--- a/crates/store/src/client/calls.rs
+++ b/crates/store/src/client/calls.rs
@@ -57,9 +57,9 @@
         outcome
     }
 
-    // A connection that went silent is noticed only by a timeout, and idle ones may have gone silent with it.
-    // Calls in progress keep their connections.
-    fn drop_idle_connections(&self) {
+    /// Drops the idle connections, which may have gone silent, so that later calls open new ones. Calls in
+    /// progress keep theirs.
+    pub fn drop_idle_connections(&self) {
         if let Ok(http) = new_http_client() {
             self.http.replace(http);
         }
