gateway: bound what a faulty target can make a process keep, for heads and delivered bodies

Other operators saw a process run out of memory on bytes without end from an upstream, with the requests of others. Cause: heads were bounded by hyper's own 400 KB a connection, with thousands of connections; a body was given back to the budget once it was complete, while it still waited for a slow caller or behind a retry, and its buffer counted for less than it occupied. Change: the read buffer of a connection to a target is 16 KiB at most. A body counts with its buffer's capacity until the last copy of it is dropped. Test: a_head_above_its_limit_is_given_up_at_once: "no response within 999 ms" on; a_body_counts_until_it_has_been_ delivered: a second body is read beyond the budget; both green now.

--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -1,13 +1,19 @@
 //! Buffering of targets' response bodies, within a memory budget.
 //!
-//! A faulty target may send an endless body. All responses that are being read share one budget, so that
-//! many endless bodies take no more memory than one.
+//! A faulty target may send an endless body. All responses share one budget until they have been delivered, so
+//! that many endless bodies take no more memory than one, and neither do many callers that read slowly.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use snafu::Snafu;
-use std::{cell::Cell, io::ErrorKind, rc::Rc};
+use std::{
+    io::ErrorKind,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
 
 /// Largest response body that is buffered, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -33,32 +39,34 @@
     },
 }
 
-/// `ResponseBudget` limits the memory of all response bodies that are being read.
+/// `ResponseBudget` limits the memory of all response bodies that are being read or delivered.
 #[derive(Debug, Clone)]
 pub struct ResponseBudget {
-    available_bytes: Rc<Cell<usize>>,
+    available_bytes: Arc<AtomicUsize>,
 }
 
 impl ResponseBudget {
     /// Creates the budget of a process that may use `memory_mb` MiB of memory.
     pub fn new(memory_mb: usize) -> Self {
         Self {
-            available_bytes: Rc::new(Cell::new((memory_mb << 20) / MEMORY_DIVISOR)),
+            available_bytes: Arc::new(AtomicUsize::new((memory_mb << 20) / MEMORY_DIVISOR)),
         }
     }
 
-    /// Reads a body to its end.
+    /// Reads a body to its end. Its bytes are given back to the budget when the last copy of it is dropped.
     ///
     /// # Errors
     ///
     /// Returns an error if the body was truncated, is too large, or the budget is used up.
     pub async fn read_to_end(&self, mut body: Incoming) -> Result<Bytes, BodyError> {
-        let mut reserved = ReservedBytes {
-            available_bytes: Rc::clone(&self.available_bytes),
-            bytes: 0,
+        let mut buffer = BudgetBuffer {
+            bytes: Vec::new(),
+            reserved: ReservedBytes {
+                available_bytes: Arc::clone(&self.available_bytes),
+                bytes: 0,
+            },
         };
         // Chunks are copied, since each small one would keep a whole read buffer alive.
-        let mut buffer = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| BodyError::Truncated {
                 cause: error.to_string(),
@@ -67,11 +75,10 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            let is_reserved = reserved.reserve(data.len());
-            is_reserved.map_err(|cause| BodyError::TooLarge { cause })?;
-            buffer.extend_from_slice(&data);
+            let is_appended = buffer.append(&data);
+            is_appended.map_err(|cause| BodyError::TooLarge { cause })?;
         }
-        Ok(buffer.freeze())
+        Ok(Bytes::from_owner(buffer))
     }
 }
 
@@ -91,29 +98,61 @@
     error.is_incomplete_message() || is_closed
 }
 
+// A body with the memory that it occupies.
+struct BudgetBuffer {
+    bytes: Vec<u8>,
+    reserved: ReservedBytes,
+}
+
+impl AsRef<[u8]> for BudgetBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl BudgetBuffer {
+    fn append(&mut self, data: &[u8]) -> Result<(), String> {
+        let length = self.bytes.len() + data.len();
+        if length > MAX_RESPONSE_BYTES {
+            return Err(format!("response body exceeds {MAX_RESPONSE_BYTES} bytes"));
+        }
+        let capacity = self.bytes.capacity();
+        if length > capacity {
+            // While the bytes are copied, both buffers exist.
+            let larger_capacity = length.max(capacity * 2).min(MAX_RESPONSE_BYTES);
+            self.reserved.reserve(larger_capacity)?;
+            self.bytes.reserve_exact(larger_capacity - self.bytes.len());
+            self.reserved.release(capacity);
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+}
+
 // Bytes of the budget that one response body takes; returned on drop.
 struct ReservedBytes {
-    available_bytes: Rc<Cell<usize>>,
+    available_bytes: Arc<AtomicUsize>,
     bytes: usize,
 }
 
 impl ReservedBytes {
     fn reserve(&mut self, bytes: usize) -> Result<(), String> {
-        if self.bytes + bytes > MAX_RESPONSE_BYTES {
-            return Err(format!("response body exceeds {MAX_RESPONSE_BYTES} bytes"));
-        }
-        let available_bytes = self.available_bytes.get().checked_sub(bytes);
-        let available_bytes =
-            available_bytes.ok_or("response bodies in progress exceed the memory budget")?;
-        self.available_bytes.set(available_bytes);
+        let subtract = |available_bytes: usize| available_bytes.checked_sub(bytes);
+        self.available_bytes
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract)
+            .map_err(|_| "response bodies exceed the memory budget")?;
         self.bytes += bytes;
         Ok(())
     }
+
+    fn release(&mut self, bytes: usize) {
+        self.bytes -= bytes;
+        self.available_bytes.fetch_add(bytes, Ordering::Relaxed);
+    }
 }
 
 impl Drop for ReservedBytes {
     fn drop(&mut self) {
-        self.available_bytes
-            .set(self.available_bytes.get() + self.bytes);
+        self.release(self.bytes);
     }
 }
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -7,7 +7,14 @@
     io::{AsyncRead, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
-use fighall_gateway::native::READY_PATH;
+use fighall_core::clock::boot_time;
+use fighall_gateway::{
+    native::{self, READY_PATH},
+    response_body::ResponseBudget,
+    sender::{AttemptOptions, AttemptOutcome, PreparedRequest, pass_to_host},
+};
+use fighall_net::pool::ConnectionPool;
+use http::{HeaderMap, Method};
 use std::{
     cell::Cell,
     net::SocketAddr,
@@ -226,3 +233,86 @@
         assert!(buffered <= 4, "{buffered} responses of 1 MB were buffered");
     });
 }
+
+// Starts a server that sends `response` once on each connection and keeps the connection open.
+async fn start_server(response: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    compio::runtime::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let response = response.clone();
+            compio::runtime::spawn(async move {
+                let _ = stream.read(Vec::with_capacity(4_096)).await;
+                let _ = stream.write_all(response).await;
+                let _ = stream.read(Vec::with_capacity(4_096)).await;
+            })
+            .detach();
+        }
+    })
+    .detach();
+    address
+}
+
+// Sends a request to the server, whose response the process of `budget` has to keep.
+async fn read_from(address: SocketAddr, budget: &ResponseBudget) -> AttemptOutcome {
+    let request = PreparedRequest {
+        id: "m1".to_owned(),
+        method: Method::GET,
+        path_and_query: "/read/a".parse().expect("a path"),
+        headers: HeaderMap::new(),
+        body: "".into(),
+    };
+    let options = AttemptOptions {
+        address,
+        max_connections: 100,
+        max_idle_time: Duration::ZERO,
+        deadline: boot_time() + Duration::from_secs(1),
+    };
+    let pool = ConnectionPool::new();
+    pass_to_host(&pool, &native::dialect(), budget, &request, options).await
+}
+
+// Regression: each connection kept a head of up to 400 KB, so that faulty targets on a thousand connections took a
+// process over its memory.
+#[test]
+fn a_head_above_its_limit_is_given_up_at_once() {
+    run(async {
+        let head = format!("HTTP/1.1 200 OK\r\nx-long: {}", "a".repeat(24 * 1_024));
+        let address = start_server(head.into_bytes()).await;
+        let started_at = Instant::now();
+        let outcome = read_from(address, &ResponseBudget::new(64)).await;
+        let timed_out = matches!(
+            outcome,
+            AttemptOutcome::Unknown {
+                timed_out: true,
+                ..
+            }
+        );
+        assert!(!timed_out, "{outcome:?} after {:?}", started_at.elapsed());
+    });
+}
+
+// Regression: a body no longer counted once it was complete, while its caller read slowly or another attempt was made.
+#[test]
+fn a_body_counts_until_it_has_been_delivered() {
+    run(async {
+        let mut response = b"HTTP/1.1 404 Not Found\r\ncontent-length: 60000\r\n\r\n".to_vec();
+        response.resize(response.len() + 60_000, b'a');
+        let address = start_server(response).await;
+        // 128 KiB, of which a growing body takes up to three times its length.
+        let budget = ResponseBudget::new(1);
+        let first = read_from(address, &budget).await;
+        let AttemptOutcome::Answered(first) = first else {
+            panic!("{first:?}");
+        };
+        assert_eq!(first.body.len(), 60_000);
+        let second = read_from(address, &budget).await;
+        assert!(
+            matches!(second, AttemptOutcome::Unknown { .. }),
+            "the budget is used up"
+        );
+        drop(first);
+        let third = read_from(address, &budget).await;
+        assert!(matches!(third, AttemptOutcome::Answered(_)), "{third:?}");
+    });
+}
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -26,6 +26,9 @@
 /// Time after which the operating system closes a connection with unacknowledged data
 /// (`TCP_USER_TIMEOUT`).
 const USER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest head of a response, and largest read buffer of a connection, in bytes. A process has thousands of
+/// connections, each of whose remote hosts may send a head without end.
+const MAX_RESPONSE_HEAD_BYTES: usize = 16 * 1_024;
 /// Idle time before the first TCP keep-alive probe.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
 
@@ -300,6 +303,7 @@
     set_socket_options(&stream).map_err(|error| refused(error.to_string()))?;
     let stream = SocketStream::new(stream).map_err(|error| refused(error.to_string()))?;
     let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
         .handshake(stream)
         .await
         .map_err(|error| refused(error.to_string()))?;
