--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -202,8 +202,7 @@
         }
         bucket.tokens -= 1.0;
         if above_low {
-            // What a host uses beyond its part of the common tokens is owed by its fair share, as long as the other
-            // hosts do not know of it.
+            // Until its report has reached the other hosts, a common token is also taken from the fair share.
             bucket.fair_tokens = (bucket.fair_tokens - 1.0).max(-limit.burst);
         }
         bucket.admitted += 1;
@@ -360,7 +359,7 @@
         // hosts together therefore keep no more refunds than what is missing to the burst.
         let max_refunded = (limit.burst - self.tokens).max(0.0) * own_share;
         self.refunded = self.refunded.min(max_refunded);
-        // A share that falls for a moment does not take what the host has saved of an equal one.
+        // A short drop of the share does not discard tokens saved at an equal share.
         let max_fair_tokens = max_fair_tokens(limit, own_share.max(equal_share));
         self.fair_tokens = (self.fair_tokens + elapsed * rate * own_share).min(max_fair_tokens);
     }
--- a/crates/gateway/tests/promises.rs
+++ b/crates/gateway/tests/promises.rs
@@ -70,7 +70,7 @@
     response.expect("a response").status
 }
 
-// Regression: a target that had run a request and answered 429, 503, 408 or 421 without stating that the request did
+// Regression: a target that had run a request and answered 429, 503 or 408 without stating that the request did
 // not run had its status returned to the caller, to whom it is a promise.
 #[test]
 fn status_of_a_target_that_does_not_state_that_a_request_did_not_run_is_no_promise() {
