gateway: attempts name their connection, and refusals as not run are not displaced in the log

Callers saw: a request that may run once answered with a promise although it ran; the record has no line that says why the host believed that.

Cause of the gap: 'attempt ended' named the target but not the connection, so that an answer to this attempt and the copy of an earlier one look the same; and a full log queue drops the newest line of any kind.

Change, no decision changes: connections have numbers and remember which identifiers they carried; each attempt logs address, connection, exchange and whether the identifier was on that connection before. One line for each refusal that reaches a request which may run once lists its attempts with their evidence; it and warnings have a queue of their own. Surplus bytes are logged and counted, on idle connections and in exchanges. Validation moves to a module of its own; send_attempt and pass_to_host return a report.

Tests changed: they read the outcome from the report; the fleet of the tests can be given a logger.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,4 +59,5 @@
 pub mod target_limit;
 pub mod target_pause;
 pub mod target_share;
+pub mod validation;
 pub mod work;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub retries: IntCounterVec,
     /// Requests passed to other hosts by outcome, while this host reaches no target.
     pub passed: IntCounterVec,
+    /// Responses that belong to no request under way, by where they arrived: on an `idle` connection or in an `exchange`.
+    pub surplus_responses: IntCounterVec,
     /// Steps of store watches by object kind and outcome.
     pub watch_steps: IntCounterVec,
     /// Version of the traffic policy in force.
@@ -103,6 +105,11 @@
                 "Requests passed to other hosts",
                 &["outcome"],
             )?,
+            surplus_responses: counter_vec(
+                "fighall_surplus_responses_total",
+                "Responses that belong to no request under way",
+                &["place"],
+            )?,
             watch_steps: counter_vec(
                 "fighall_watch_steps_total",
                 "Steps of watches of the store",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -46,6 +46,7 @@
 use slog::{Logger, info, warn};
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -369,15 +370,18 @@
         ..ClientOptions::with_address(settings.store.to_string())
     };
     let store = StoreClient::new(options)?.with_mapping(dialect.store);
+    let logger = Rc::new(logger);
+    let metrics = Rc::new(GatewayMetrics::new()?);
     let pool = ConnectionPool::new()
         .with_source_address(Some(settings.callers.ip()))
-        .with_idle_timeout(DEFAULT_IDLE_LIMIT);
+        .with_idle_timeout(DEFAULT_IDLE_LIMIT)
+        .with_surplus_observer(surplus_observer(&logger, &metrics));
     let status = SettingsStatus::new(&settings);
     kernel.register(names::SETTINGS_STATUS, Rc::new(Cell::new(status)))?;
     kernel.register(names::SETTINGS, Rc::new(settings))?;
     kernel.register(names::DIALECT, Rc::new(dialect))?;
-    kernel.register(names::LOGGER, Rc::new(logger))?;
-    kernel.register(names::METRICS, Rc::new(GatewayMetrics::new()?))?;
+    kernel.register(names::LOGGER, logger)?;
+    kernel.register(names::METRICS, metrics)?;
     kernel.register(names::STORE, Rc::new(store))?;
     kernel.register(names::POOL, Rc::new(pool))?;
     kernel.register(names::POLICY, Rc::new(RefCell::new(PolicyCopy::default())))?;
@@ -386,6 +390,20 @@
     Ok(())
 }
 
+// Counts and logs bytes that arrived on an idle connection to a target or host.
+fn surplus_observer(
+    logger: &Rc<Logger>,
+    metrics: &Rc<GatewayMetrics>,
+) -> impl Fn(SocketAddr, u64) + use<> {
+    let (logger, metrics) = (Rc::clone(logger), Rc::clone(metrics));
+    move |address, connection| {
+        let labels = ["idle"];
+        metrics.surplus_responses.with_label_values(&labels).inc();
+        info!(logger, "surplus bytes on an idle connection";
+            "address" => address, "connection" => connection);
+    }
+}
+
 fn build_response(
     status: StatusCode,
     body: String,
--- a/crates/gateway/src/placement_log.rs
+++ b/crates/gateway/src/placement_log.rs
@@ -3,25 +3,84 @@
 use crate::{
     crash::RequestDigest,
     decision::TargetPlacement,
+    request::RequestTrace,
     router::{limits::LimitChanges, outcomes::TargetNotice},
-    sender::AttemptOutcome,
+    sender::{AttemptOutcome, AttemptReport, ConnectionUse},
     target_limit::LimitChange,
 };
+use fighall_core::log::RETAINED;
+use http::StatusCode;
 use slog::{Logger, info, warn};
 use std::time::Duration;
 
-/// Logs an attempt with the inputs of its placement. Returns the metrics label of the outcome.
+/// Logs an attempt with the inputs of its placement and its place on the connection. Returns the metrics label of the
+/// outcome.
 pub fn log_attempt<'l>(
     logger: &Logger,
     request: &str,
     placement: &TargetPlacement,
-    outcome: &AttemptOutcome,
+    report: &AttemptReport,
     elapsed: Duration,
     ejected: bool,
 ) -> &'l str {
-    let (label, detail) = match outcome {
+    let (label, detail) = describe(&report.outcome);
+    let connection_use = report.connection_use;
+    info!(logger, "attempt ended";
+        "request" => request,
+        "target" => &placement.target,
+        "address" => placement.address,
+        "connection" => connection_use.map(|connection_use| connection_use.connection),
+        "exchange" => connection_use.map(|connection_use| connection_use.exchange),
+        "repeated" => connection_use.map(|connection_use| connection_use.repeated),
+        "region" => &placement.region,
+        "place" => placement.hash_rank,
+        "warm" => placement.warm,
+        "cold" => placement.warming_up,
+        "limit" => placement.limit,
+        "wait_ms" => placement.wait.as_millis(),
+        "expected_ms" => placement.expected_latency.as_millis(),
+        "outcome" => label,
+        "detail" => detail,
+        "held_ms" => elapsed.as_millis(),
+        "ejected" => ejected,
+    );
+    label
+}
+
+/// Describes an attempt for the log of a refusal: its target, its place on the connection and its outcome.
+pub fn describe_attempt(placement: &TargetPlacement, report: &AttemptReport) -> String {
+    let (label, detail) = describe(&report.outcome);
+    let place = describe_use(report.connection_use);
+    format!(
+        "{} at {}, {place}: {label}, {detail}",
+        placement.target, placement.address
+    )
+}
+
+/// Describes the place of an exchange on its connection.
+pub fn describe_use(connection_use: Option<ConnectionUse>) -> String {
+    let Some(connection_use) = connection_use else {
+        return "nothing sent".to_owned();
+    };
+    let ConnectionUse {
+        connection,
+        exchange,
+        repeated,
+    } = connection_use;
+    let suffix = if repeated {
+        ", identifier repeated"
+    } else {
+        ""
+    };
+    format!("connection {connection} exchange {exchange}{suffix}")
+}
+
+// Returns the metrics label and the detail of an outcome.
+fn describe<'l>(outcome: &AttemptOutcome) -> (&'l str, String) {
+    match outcome {
         AttemptOutcome::Answered(response) => ("answered", response.status.as_u16().to_string()),
         AttemptOutcome::Rejected {
+            status,
             misdirected,
             identified,
         } => {
@@ -35,7 +94,7 @@
             } else {
                 "first response of the connection, without an identifier"
             };
-            (label, evidence.to_owned())
+            (label, format!("{}, {evidence}", status.as_u16()))
         }
         AttemptOutcome::NotSent { cause, .. } => ("not_sent", cause.clone()),
         AttemptOutcome::Unknown {
@@ -44,23 +103,25 @@
             ..
         } => ("silent", cause.clone()),
         AttemptOutcome::Unknown { cause, .. } => ("unknown", cause.clone()),
-    };
-    info!(logger, "attempt ended";
+    }
+}
+
+/// Logs why a request that may run once, and is answered with a status that promises that it did not run, is known not
+/// to have run.
+pub(crate) fn log_refusal(
+    logger: &Logger,
+    request: &str,
+    status: StatusCode,
+    outcome: &str,
+    trace: &RequestTrace,
+) {
+    info!(logger, #RETAINED, "request refused as not run";
         "request" => request,
-        "target" => &placement.target,
-        "region" => &placement.region,
-        "place" => placement.hash_rank,
-        "warm" => placement.warm,
-        "cold" => placement.warming_up,
-        "limit" => placement.limit,
-        "wait_ms" => placement.wait.as_millis(),
-        "expected_ms" => placement.expected_latency.as_millis(),
-        "outcome" => label,
-        "detail" => detail,
-        "held_ms" => elapsed.as_millis(),
-        "ejected" => ejected,
+        "route" => &trace.route,
+        "status" => status.as_u16(),
+        "outcome" => outcome,
+        "attempts" => trace.attempts.join("; "),
     );
-    label
 }
 
 /// Logs requests that are blocked because targets crash under them. `source` is where the evidence comes from.
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -10,17 +10,19 @@
     follow::StoreFollower,
     metrics::GatewayMetrics,
     names,
+    placement_log::log_refusal,
     policy::{OrgPolicy, RoutePolicy, TrafficPolicy},
     policy_copy::PolicyCopy,
     request::{
         AdmittedRequest, AttemptRecord, RateToken, RefusalCause, RequestMatch, RequestRefusal,
-        allowed_regions, deadline_of, prepare_request, unready_refusal,
+        RequestTrace, allowed_regions, deadline_of, prepare_request, unready_refusal,
     },
     response_body::ResponseBudget,
     reuse::IdleLimit,
     router::RequestRouter,
-    sender::{AttemptOutcome, BufferedResponse, PASSED_HEADER, promises_no_run},
+    sender::{AttemptOutcome, BufferedResponse, PASSED_HEADER},
     settings::GatewaySettings,
+    validation::promises_no_run,
 };
 use bytes::Bytes;
 use fighall_core::{clock::boot_time, ids::BootTime};
@@ -106,9 +108,9 @@
         let metadata = (self.dialect.read_caller_headers)(request.headers());
         let id = metadata.request.clone();
         let is_passed = request.headers().contains_key(PASSED_HEADER);
-        let mut route_name = String::new();
+        let mut trace = RequestTrace::default();
         let result = self
-            .handle(request, metadata, arrived_at, &turn, &mut route_name)
+            .handle(request, metadata, arrived_at, &turn, &mut trace)
             .await;
         let now = boot_time();
         let outcome = match &result {
@@ -116,10 +118,17 @@
             Err(refusal) => format!("{:?}", refusal.cause).to_lowercase(),
         };
         self.metrics
-            .count_request(&route_name, &outcome, arrived_at, now);
+            .count_request(&trace.route, &outcome, arrived_at, now);
+        let status = match &result {
+            Ok(response) => response.status,
+            Err(refusal) => refusal.cause.status(),
+        };
+        if !trace.idempotent && promises_no_run(status) {
+            log_refusal(&self.logger, &id, status, &outcome, &trace);
+        }
         info!(self.logger, "request ended";
             "request" => &id,
-            "route" => route_name,
+            "route" => trace.route,
             "outcome" => outcome,
             "policy" => self.policy.borrow().policy().map(|policy| policy.version),
             "policy_age_ms" => self.policy.borrow().age(now).map(|age| age.as_millis()),
@@ -167,7 +176,7 @@
         metadata: CallerMetadata,
         arrived_at: BootTime,
         turn: &RequestTurn,
-        route_name: &mut String,
+        trace: &mut RequestTrace,
     ) -> std::result::Result<BufferedResponse, RequestRefusal> {
         if !self.follower.has_synced() {
             return Err(unready_refusal());
@@ -175,7 +184,8 @@
         let policy = self.policy.borrow().policy();
         let policy = policy.ok_or_else(unready_refusal)?;
         let route = self.find_route(&policy, &request, arrived_at)?;
-        route_name.clone_from(&route.name);
+        trace.route.clone_from(&route.name);
+        trace.idempotent = route.idempotent;
         if !route.idempotent {
             turn.reached().await;
         }
@@ -187,7 +197,7 @@
             if !hosts.is_empty() {
                 let max_body_bytes = policy.limits.max_body_bytes;
                 let prepared = prepare_request(request, &metadata, max_body_bytes).await?;
-                return self.pass(&prepared, hosts, deadline).await;
+                return self.pass(&prepared, hosts, deadline, trace).await;
             }
         }
         let mut token = None;
@@ -216,7 +226,7 @@
             service,
         };
         let admitted = AdmittedRequest::new(arrived_at, prepared, metadata, matched, token);
-        self.run_attempts(&admitted).await
+        self.run_attempts(&admitted, trace).await
     }
 
     fn log_rate_limited(&self, request: &str, organisation: &OrgPolicy) {
@@ -283,6 +293,7 @@
     async fn run_attempts(
         &self,
         request: &AdmittedRequest,
+        trace: &mut RequestTrace,
     ) -> std::result::Result<BufferedResponse, RequestRefusal> {
         let mut record = AttemptRecord::default();
         loop {
@@ -313,7 +324,7 @@
                 }
             };
             request.set_consumed(true);
-            let outcome = self.run_attempt(request, &query, &placement).await;
+            let outcome = self.run_attempt(request, &query, &placement, trace).await;
             if let AttemptOutcome::Answered(response) = outcome {
                 if !request.route.idempotent && promises_no_run(response.status) {
                     record.outcome_unknown = true;
--- a/crates/gateway/src/proxy/attempts.rs
+++ b/crates/gateway/src/proxy/attempts.rs
@@ -4,11 +4,13 @@
 use crate::{
     decision::{PlacementQuery, SentRequest, TargetPlacement},
     dialect::{ResponseMetadata, TargetMetadata},
-    placement_log::{format_digest, log_attempt, log_blocks, log_limit_changes, log_notices},
+    placement_log::{
+        describe_attempt, format_digest, log_attempt, log_blocks, log_limit_changes, log_notices,
+    },
     policy::ServicePolicy,
-    request::AdmittedRequest,
+    request::{AdmittedRequest, RequestTrace},
     router::RequestRouter,
-    sender::{self, AttemptOptions, AttemptOutcome},
+    sender::{self, AttemptOptions, AttemptOutcome, AttemptReport},
 };
 use fighall_core::{clock::boot_time, ids::BootTime};
 use slog::info;
@@ -20,6 +22,7 @@
         request: &AdmittedRequest,
         query: &PlacementQuery,
         placement: &TargetPlacement,
+        trace: &mut RequestTrace,
     ) -> AttemptOutcome {
         let sent = self.router.borrow_mut().start_attempt(query, placement);
         let guard = AttemptGuard {
@@ -32,7 +35,7 @@
             let mut router = self.router.borrow_mut();
             router.record_connect_time(&placement.target, elapsed);
         };
-        let (response_metadata, outcome) = sender::send_attempt(
+        let report = sender::send_attempt(
             &self.pool,
             &self.dialect,
             &self.response_budget,
@@ -44,22 +47,19 @@
         .await;
         let now = boot_time();
         let elapsed = now.saturating_sub(sent_at);
-        self.record_limit(
-            now,
-            sent_at,
-            &placement.target,
-            &response_metadata,
-            &outcome,
-        );
-        self.record_notices(now, request, placement, &response_metadata, &outcome);
-        self.record_crashes(now, sent_at, request, placement, &outcome);
+        let AttemptReport {
+            metadata, outcome, ..
+        } = &report;
+        self.record_limit(now, sent_at, &placement.target, metadata, outcome);
+        self.record_notices(now, request, placement, metadata, outcome);
+        self.record_crashes(now, sent_at, request, placement, outcome);
         let mut router = self.router.borrow_mut();
-        router.record_target_report(now, &placement.target, &response_metadata);
+        router.record_target_report(now, &placement.target, metadata);
         let ejected = record_outcome(
             &mut router,
             now,
             &guard.sent,
-            &outcome,
+            outcome,
             elapsed,
             &request.service,
         );
@@ -69,19 +69,27 @@
             ..
         } = outcome
         {
-            self.record_stale_connection(now, &request.prepared.id, idle_for);
+            self.record_stale_connection(now, &request.prepared.id, *idle_for);
         }
         let label = log_attempt(
             &self.logger,
             &request.prepared.id,
             placement,
-            &outcome,
+            &report,
             elapsed,
             ejected,
         );
         self.metrics
             .count_attempt(&request.service.name, label, elapsed);
-        outcome
+        if report.is_surplus(&request.prepared.id) {
+            let labels = ["exchange"];
+            self.metrics
+                .surplus_responses
+                .with_label_values(&labels)
+                .inc();
+        }
+        trace.attempts.push(describe_attempt(placement, &report));
+        report.outcome
     }
 
     // Records what the outcome shows about requests that crash targets.
--- a/crates/gateway/src/proxy/passing.rs
+++ b/crates/gateway/src/proxy/passing.rs
@@ -3,8 +3,9 @@
 use super::CallerProxy;
 use crate::{
     dialect::CallerMetadata,
+    placement_log::describe_use,
     refusal,
-    request::{RefusalCause, RequestRefusal, cut_off_refusal},
+    request::{RefusalCause, RequestRefusal, RequestTrace, cut_off_refusal},
     sender::{
         self, AttemptOptions, AttemptOutcome, BufferedResponse, PASSED_HEADER, PreparedRequest,
     },
@@ -64,6 +65,7 @@
         request: &PreparedRequest,
         hosts: Vec<(HostId, SocketAddr)>,
         deadline: BootTime,
+        trace: &mut RequestTrace,
     ) -> std::result::Result<BufferedResponse, RequestRefusal> {
         for (host, address) in hosts.into_iter().take(MAX_HOSTS) {
             let options = AttemptOptions {
@@ -73,7 +75,7 @@
                 deadline,
             };
             let sent_at = boot_time();
-            let outcome = sender::pass_to_host(
+            let report = sender::pass_to_host(
                 &self.pool,
                 &self.dialect,
                 &self.response_budget,
@@ -81,11 +83,12 @@
                 options,
             )
             .await;
-            let status = match &outcome {
+            let connection_use = report.connection_use;
+            let status = match &report.outcome {
                 AttemptOutcome::Answered(response) => Some(response.status.as_u16()),
                 _ => None,
             };
-            let (label, result) = match outcome {
+            let (label, result) = match report.outcome {
                 AttemptOutcome::Answered(response) => ("answered", Some(Ok(response))),
                 AttemptOutcome::Unknown {
                     timed_out: true, ..
@@ -95,9 +98,17 @@
                     ("not_sent", None)
                 }
             };
+            let place = describe_use(connection_use);
+            trace
+                .attempts
+                .push(format!("host {host} at {address}, {place}: {label}"));
             info!(self.logger, "request passed";
                 "request" => &request.id,
                 "to" => host,
+                "address" => address,
+                "connection" => connection_use.map(|connection_use| connection_use.connection),
+                "exchange" => connection_use.map(|connection_use| connection_use.exchange),
+                "repeated" => connection_use.map(|connection_use| connection_use.repeated),
                 "outcome" => label,
                 "status" => status,
                 "held_ms" => boot_time().saturating_sub(sent_at).as_millis(),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -152,6 +152,16 @@
     digest: OnceCell<RequestDigest>,
 }
 
+// What is logged of a request.
+#[derive(Default)]
+pub(crate) struct RequestTrace {
+    pub(crate) route: String,
+    // Whether the request may run more than once; false until its route is found.
+    pub(crate) idempotent: bool,
+    // Descriptions of its attempts at targets and other hosts.
+    pub(crate) attempts: Vec<String>,
+}
+
 // Results of the attempts of one request so far.
 #[derive(Default)]
 pub(crate) struct AttemptRecord {
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -5,6 +5,7 @@
     dialect::{ResponseMetadata, TargetMetadata, WireDialect},
     response_body::{BodyError, ResponseBudget, is_connection_end},
     reuse::DEFAULT_IDLE_LIMIT,
+    validation::{incomplete_response, validate, validate_passed},
 };
 use bytes::Bytes;
 use fighall_core::{clock::boot_time, ids::BootTime, value};
@@ -66,6 +67,8 @@
     Answered(BufferedResponse),
     /// The target reported that it did not run the request.
     Rejected {
+        /// Status of the rejection.
+        status: StatusCode,
         /// Whether the address belongs to another target by now (status 421).
         misdirected: bool,
         /// Whether the response bears the request's identifier; otherwise it is the first one of its connection.
@@ -109,9 +112,59 @@
     }
 }
 
+value! {
+    /// `ConnectionUse` is one exchange's place on its connection.
+    #[derive(Copy)]
+    pub struct ConnectionUse {
+        /// Number of the connection in its pool.
+        pub connection: u64,
+        /// Position of the exchange on the connection; the first one is 1.
+        pub exchange: u64,
+        /// Whether a request with the same identifier was sent on the connection before.
+        pub repeated: bool,
+    }
+}
+
+impl ConnectionUse {
+    fn new(connection: &mut PooledConnection, request: &str) -> Self {
+        let repeated = connection.carried.add(request);
+        Self {
+            connection: connection.number,
+            exchange: connection.carried.exchange_count(),
+            repeated,
+        }
+    }
+}
+
+/// `AttemptReport` is what an attempt shows.
+#[derive(Debug)]
+pub struct AttemptReport {
+    /// Metadata of the response; empty without one.
+    pub metadata: ResponseMetadata,
+    /// Outcome.
+    pub outcome: AttemptOutcome,
+    /// Place of the exchange on its connection; absent if nothing was sent.
+    pub connection_use: Option<ConnectionUse>,
+}
+
+impl AttemptReport {
+    /// Tells whether the response bears the identifier of another request than `request`.
+    pub fn is_surplus(&self, request: &str) -> bool {
+        let identifier = self.metadata.request.as_deref();
+        identifier.is_some_and(|identifier| identifier != request)
+    }
+
+    fn new(outcome: AttemptOutcome) -> Self {
+        Self {
+            metadata: ResponseMetadata::default(),
+            outcome,
+            connection_use: None,
+        }
+    }
+}
+
 /// Sends a request to a target and waits for the complete response. Calls `on_connected` with the time
-/// that opening a new connection took. Returns the metadata of the response, empty without one, and the
-/// outcome.
+/// that opening a new connection took.
 pub async fn send_attempt(
     pool: &ConnectionPool,
     dialect: &WireDialect,
@@ -120,7 +173,7 @@
     metadata: TargetMetadata,
     options: AttemptOptions,
     on_connected: impl FnOnce(Duration),
-) -> (ResponseMetadata, AttemptOutcome) {
+) -> AttemptReport {
     let started_at = boot_time();
     let mut connection = match connect(pool, options).await {
         Ok(connection) => {
@@ -129,13 +182,14 @@
             }
             connection
         }
-        Err(outcome) => return (ResponseMetadata::default(), outcome),
+        Err(outcome) => return AttemptReport::new(outcome),
     };
     let time_left = options.deadline.saturating_sub(boot_time());
     if time_left.is_zero() {
         pool.put(connection);
-        return (ResponseMetadata::default(), deadline_passed());
+        return AttemptReport::new(deadline_passed());
     }
+    let connection_use = Some(ConnectionUse::new(&mut connection, &request.id));
     let mut message = build_request(request);
     let metadata = TargetMetadata {
         time_left,
@@ -147,7 +201,10 @@
         compio::time::timeout(time_left, exchange).await
     else {
         pool.close_idle(options.address);
-        return (ResponseMetadata::default(), no_response(time_left));
+        return AttemptReport {
+            connection_use,
+            ..AttemptReport::new(no_response(time_left))
+        };
     };
     let identifier_matches = response_metadata.request.as_deref() == Some(request.id.as_str());
     let is_first = connection.idle_for.is_none();
@@ -161,7 +218,11 @@
             });
         pool.put_with_idle_timeout(connection, idle_time);
     }
-    (response_metadata, outcome)
+    AttemptReport {
+        metadata: response_metadata,
+        outcome,
+        connection_use,
+    }
 }
 
 /// Passes a request to the host at `options.address`, as its caller sent it, and waits for the complete response, which
@@ -172,48 +233,34 @@
     budget: &ResponseBudget,
     request: &PreparedRequest,
     options: AttemptOptions,
-) -> AttemptOutcome {
+) -> AttemptReport {
     let mut connection = match connect(pool, options).await {
         Ok(connection) => connection,
-        Err(outcome) => return outcome,
+        Err(outcome) => return AttemptReport::new(outcome),
     };
     let time_left = options.deadline.saturating_sub(boot_time());
+    let connection_use = Some(ConnectionUse::new(&mut connection, &request.id));
     let mut message = build_request(request);
     let headers = message.headers_mut();
     headers.insert(PASSED_HEADER, HeaderValue::from_static("1"));
     (dialect.write_passed_headers)(headers, &request.id, time_left);
     let exchange = exchange(&mut connection, dialect, budget, message);
     let Ok((metadata, outcome, complete)) = compio::time::timeout(time_left, exchange).await else {
-        return no_response(time_left);
-    };
-    let AttemptOutcome::Answered(mut response) = outcome else {
-        return outcome;
+        return AttemptReport {
+            connection_use,
+            ..AttemptReport::new(no_response(time_left))
+        };
     };
-    let identifier_matches = metadata.request.as_deref() == Some(request.id.as_str());
-    if response.status.is_success() && !(identifier_matches && metadata.from_target) {
-        return invalid_response("response is not that of a target to the request".to_owned());
-    }
-    // Another program may run at the address by now, and a kept connection may return a response twice.
-    let passed = response.headers.remove(PASSED_HEADER);
-    let is_of_host = passed.is_some_and(|id| id.as_bytes() == request.id.as_bytes());
-    if promises_no_run(response.status) && !is_of_host {
-        return invalid_response("refusal is not that of a host to the request".to_owned());
-    }
-    if complete && connection.sender.is_ready() {
+    let outcome = validate_passed(outcome, &metadata, request);
+    let reusable = complete && matches!(outcome, AttemptOutcome::Answered(_));
+    if reusable && connection.sender.is_ready() {
         pool.put_with_idle_timeout(connection, HOST_IDLE_LIMIT);
     }
-    AttemptOutcome::Answered(response)
-}
-
-/// Tells whether a status means to callers that the request did not run and never will.
-pub fn promises_no_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
+    AttemptReport {
+        metadata,
+        outcome,
+        connection_use,
+    }
 }
 
 fn no_response(time_left: Duration) -> AttemptOutcome {
@@ -293,7 +340,10 @@
         Err(mut error) => {
             let unsent = error.take_message().is_some();
             let error = error.into_error();
-            let cause = error.to_string();
+            let cause = match std::error::Error::source(&error) {
+                Some(source) => format!("{error}: {source}"),
+                None => error.to_string(),
+            };
             let outcome = if unsent {
                 AttemptOutcome::NotSent {
                     cause,
@@ -342,48 +392,3 @@
         body,
     })
 }
-
-fn validate(
-    outcome: AttemptOutcome,
-    metadata: &ResponseMetadata,
-    identifier_matches: bool,
-    is_first: bool,
-) -> AttemptOutcome {
-    let AttemptOutcome::Answered(response) = &outcome else {
-        return outcome;
-    };
-    let misdirected = response.status == StatusCode::MISDIRECTED_REQUEST;
-    // A target that rejects a request may leave out the identifier. On a connection that was used before, such
-    // a rejection may be one of an earlier request.
-    let rejected = misdirected || metadata.not_run;
-    if rejected && (identifier_matches || metadata.request.is_none() && is_first) {
-        return AttemptOutcome::Rejected {
-            misdirected,
-            identified: identifier_matches,
-        };
-    }
-    let trusted = !response.status.is_success() || metadata.from_target;
-    if identifier_matches && trusted {
-        return outcome;
-    }
-    let cause = if identifier_matches {
-        "response lacks the header of a target"
-    } else {
-        "response identifier does not match the request"
-    };
-    invalid_response(cause.to_owned())
-}
-
-// A response arrived but failed validation.
-fn invalid_response(cause: String) -> AttemptOutcome {
-    incomplete_response(cause, false)
-}
-
-fn incomplete_response(cause: String, closed: bool) -> AttemptOutcome {
-    AttemptOutcome::Unknown {
-        cause,
-        timed_out: false,
-        closed,
-        stale_after: None,
-    }
-}
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -269,7 +269,8 @@
         deadline: boot_time() + Duration::from_secs(1),
     };
     let pool = ConnectionPool::new();
-    pass_to_host(&pool, &native::dialect(), budget, &request, options).await
+    let report = pass_to_host(&pool, &native::dialect(), budget, &request, options).await;
+    report.outcome
 }
 
 // Regression: each connection kept a head of up to 400 KB, so that faulty targets on a thousand connections took a
--- a/crates/gateway/tests/promises.rs
+++ b/crates/gateway/tests/promises.rs
@@ -6,7 +6,7 @@
     io::{AsyncRead, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
-use fighall_core::clock::boot_time;
+use fighall_core::{clock::boot_time, log::new_queued_logger};
 use fighall_gateway::{
     native,
     response_body::ResponseBudget,
@@ -14,8 +14,14 @@
 };
 use fighall_net::pool::ConnectionPool;
 use http::{HeaderMap, Method};
-use std::{net::SocketAddr, time::Duration};
-use support::{KEY, TestFleet, list_target, send};
+use slog::Level;
+use std::{
+    io::Write,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use support::{KEY, RETRIES_AT_START, TestFleet, list_target, send};
 
 /// Time after which a starting host has copied everything that was listed.
 const LISTING_DELAY: Duration = Duration::from_millis(1_500);
@@ -113,14 +119,15 @@
         deadline: boot_time() + Duration::from_secs(1),
     };
     let budget = ResponseBudget::new(64);
-    pass_to_host(
+    let report = pass_to_host(
         &ConnectionPool::new(),
         &native::dialect(),
         &budget,
         &request,
         options,
     )
-    .await
+    .await;
+    report.outcome
 }
 
 // Regression: a refusal that another program at the address of a host sent, or that belonged to another request, was
@@ -149,3 +156,51 @@
         assert!(response.headers.is_empty() || !response.headers.contains_key("fighall-passed"));
     });
 }
+
+// Collects the lines of a host.
+#[derive(Clone, Default)]
+struct SharedLines(Arc<Mutex<Vec<u8>>>);
+
+impl Write for SharedLines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("the lines").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn refusal_of_a_request_that_may_run_once_is_logged_with_the_connections_of_its_attempts() {
+    run(async {
+        let lines = SharedLines::default();
+        let shared = lines.clone();
+        let logger = new_queued_logger("h1", Level::Info, move || shared.clone());
+        let fleet = TestFleet::start_with_logger(0, RETRIES_AT_START, logger).await;
+        let respond = |id: &str| {
+            format!(
+                "HTTP/1.1 503 Status\r\nfighall-request: {id}\r\nfighall-run: no\r\ncontent-length: 0\r\n\r\n"
+            )
+        };
+        let address = start_server(respond).await;
+        list_target(&fleet.store, "t0", address);
+        fleet.publish(|_| {}).await;
+        compio::time::sleep(LISTING_DELAY).await;
+        let client = cyper::Client::new().expect("a client");
+        let response = send(&client, fleet.callers, "/write/a", "r1", KEY).await;
+        assert_eq!(response.expect("a response").status, 503);
+        compio::time::sleep(Duration::from_millis(200)).await;
+        let text = String::from_utf8(lines.0.lock().expect("the lines").clone()).expect("text");
+        let line = text
+            .lines()
+            .find(|line| line.contains("request refused as not run"));
+        let line = line.expect("a line for the refusal");
+        let expected = format!(
+            "t0 at {address}, connection 1 exchange 1: rejected, 503, response with the request's identifier"
+        );
+        assert!(line.contains("\"request\":\"r1\""), "{line}");
+        assert!(line.contains(&expected), "{line}");
+    });
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -17,6 +17,7 @@
     behaviour::TargetBehaviour, loopback::program_addresses, platform::PlatformStandIn,
     target::TargetStandIn,
 };
+use slog::Logger;
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 /// Key of the only organisation, `andes`.
@@ -151,6 +152,11 @@
 impl TestFleet {
     /// Starts a gateway with `count` targets. It is not ready before a policy is published.
     pub(crate) async fn start(count: usize, bounds: &str) -> Self {
+        Self::start_with_logger(count, bounds, discarding_logger()).await
+    }
+
+    /// Starts a gateway that logs to `logger`, with `count` targets.
+    pub(crate) async fn start_with_logger(count: usize, bounds: &str, logger: Logger) -> Self {
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
         let store = PlatformStandIn::start(loopback, 1).await.expect("a store");
         let mut targets = Vec::new();
@@ -165,7 +171,7 @@
         let (_, settings) = settings("h1", store.address(), bounds);
         let (callers, ready, directory) = (settings.callers, settings.ready, settings.directory);
         Self {
-            gateway: start_gateway(settings).await,
+            gateway: start_logging_gateway(settings, logger).await,
             store,
             targets,
             callers,
@@ -239,10 +245,14 @@
 
 /// Starts a gateway in the test process.
 pub(crate) async fn start_gateway(settings: GatewaySettings) -> Rc<GatewayNode> {
+    start_logging_gateway(settings, discarding_logger()).await
+}
+
+async fn start_logging_gateway(settings: GatewaySettings, logger: Logger) -> Rc<GatewayNode> {
     let file = SettingsFile {
         path: "does-not-exist.json".to_owned(),
         bounds: native::read_bounds,
     };
-    let gateway = GatewayNode::start(settings, file, native::dialect(), discarding_logger());
+    let gateway = GatewayNode::start(settings, file, native::dialect(), logger);
     gateway.await.expect("a gateway")
 }
--- /dev/null
+++ b/crates/net/src/carried.rs
@@ -0,0 +1,33 @@
+//! Requests that a connection has carried.
+
+use std::{
+    collections::BTreeSet,
+    hash::{BuildHasher, RandomState},
+};
+
+/// `CarriedRequests` is the set of requests that were sent on one connection, by the hash of their identifiers. Two
+/// identifiers with the same hash count as one.
+#[derive(Clone, Debug, Default)]
+pub struct CarriedRequests {
+    hasher: RandomState,
+    hashes: BTreeSet<u64>,
+    exchange_count: u64,
+}
+
+impl CarriedRequests {
+    /// Adds a request. Returns whether one with its identifier was sent on the connection before.
+    pub fn add(&mut self, request: &str) -> bool {
+        self.exchange_count += 1;
+        !self.hashes.insert(self.hasher.hash_one(request))
+    }
+
+    /// Tells whether a request with this identifier was sent on the connection.
+    pub fn contains(&self, request: &str) -> bool {
+        self.hashes.contains(&self.hasher.hash_one(request))
+    }
+
+    /// Gets the number of requests that were sent, repeated ones included.
+    pub fn exchange_count(&self) -> u64 {
+        self.exchange_count
+    }
+}
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -2,7 +2,7 @@
 //! its exchange was cancelled or cut off, so that a late response cannot be taken for that of another
 //! request.
 
-use crate::{body::OutboundBody, socket::connect, stream::SocketStream};
+use crate::{body::OutboundBody, carried::CarriedRequests, socket::connect, stream::SocketStream};
 use compio::net::TcpStream;
 use fighall_core::{clock::boot_time, ids::BootTime, value};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -73,6 +73,8 @@
 struct IdleConnection {
     sender: SendRequest<OutboundBody>,
     guard: ConnectionGuard,
+    number: u64,
+    carried: CarriedRequests,
     idle_since: BootTime,
     idle_timeout: Duration,
 }
@@ -115,6 +117,10 @@
     pub address: SocketAddr,
     /// Time since the previous exchange; absent for a new connection.
     pub idle_for: Option<Duration>,
+    /// Number of the connection, unique in its pool.
+    pub number: u64,
+    /// Requests that were sent on the connection.
+    pub carried: CarriedRequests,
     /// Sends requests on the connection.
     pub sender: SendRequest<OutboundBody>,
     guard: ConnectionGuard,
@@ -124,6 +130,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("PooledConnection")
             .field("address", &self.address)
+            .field("number", &self.number)
             .finish_non_exhaustive()
     }
 }
@@ -133,8 +140,13 @@
     source_address: Option<IpAddr>,
     idle_timeout: Duration,
     addresses: RefCell<BTreeMap<SocketAddr, AddressPool>>,
+    opened_count: Cell<u64>,
+    on_surplus: SurplusObserver,
 }
 
+// Gets the address and the number of an idle connection on which bytes arrived.
+type SurplusObserver = Rc<dyn Fn(SocketAddr, u64)>;
+
 impl std::fmt::Debug for ConnectionPool {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("ConnectionPool").finish_non_exhaustive()
@@ -154,9 +166,18 @@
             source_address: None,
             idle_timeout: IDLE_TIMEOUT,
             addresses: RefCell::new(BTreeMap::new()),
+            opened_count: Cell::new(0),
+            on_surplus: Rc::new(|_, _| {}),
         }
     }
 
+    /// Sets what is called with the address and the number of a connection that is closed because bytes arrived on
+    /// it while no request was sent.
+    pub fn with_surplus_observer(mut self, observe: impl Fn(SocketAddr, u64) + 'static) -> Self {
+        self.on_surplus = Rc::new(observe);
+        self
+    }
+
     /// Sets the time after which an idle connection is not reused and is closed.
     pub fn with_idle_timeout(mut self, idle_timeout: Duration) -> Self {
         self.idle_timeout = idle_timeout;
@@ -188,21 +209,24 @@
                 return Ok(PooledConnection {
                     address,
                     idle_for,
+                    number: idle.number,
+                    carried: idle.carried,
                     sender,
                     guard: idle.guard,
                 });
             }
         }
         let guard = self.reserve(address, options.max_connections)?;
-        let opened = compio::time::timeout(
-            CONNECT_TIMEOUT,
-            open_connection(address, self.source_address),
-        )
-        .await;
+        let number = self.opened_count.get() + 1;
+        self.opened_count.set(number);
+        let opened =
+            compio::time::timeout(CONNECT_TIMEOUT, self.open_connection(address, number)).await;
         let sender = opened.map_err(|_| ConnectError::Timeout { address })??;
         Ok(PooledConnection {
             address,
             idle_for: None,
+            number,
+            carried: CarriedRequests::default(),
             sender,
             guard,
         })
@@ -225,6 +249,8 @@
             pool.idle.push(IdleConnection {
                 sender: connection.sender,
                 guard: connection.guard,
+                number: connection.number,
+                carried: connection.carried,
                 idle_since: boot_time(),
                 idle_timeout: idle_timeout.min(self.idle_timeout),
             });
@@ -283,36 +309,46 @@
         }
         Ok(ConnectionGuard::new(&pool.open_count))
     }
+
+    async fn open_connection(
+        &self,
+        address: SocketAddr,
+        number: u64,
+    ) -> Result<SendRequest<OutboundBody>, ConnectError> {
+        let refused = |cause: String| ConnectError::Refused {
+            address,
+            cause,
+            port_closed: false,
+        };
+        let stream = connect(address, self.source_address).await;
+        let stream = stream.map_err(|error| ConnectError::Refused {
+            address,
+            cause: error.to_string(),
+            port_closed: error.kind() == ErrorKind::ConnectionRefused,
+        })?;
+        set_socket_options(&stream).map_err(|error| refused(error.to_string()))?;
+        let stream = SocketStream::new(stream).map_err(|error| refused(error.to_string()))?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
+            .handshake(stream)
+            .await
+            .map_err(|error| refused(error.to_string()))?;
+        let observe = Rc::clone(&self.on_surplus);
+        let connection_task = async move {
+            if connection.await.is_err_and(|error| is_surplus(&error)) {
+                observe(address, number);
+            }
+        };
+        compio::runtime::spawn(connection_task).detach();
+        Ok(sender)
+    }
 }
 
-async fn open_connection(
-    address: SocketAddr,
-    source_address: Option<IpAddr>,
-) -> Result<SendRequest<OutboundBody>, ConnectError> {
-    let refused = |cause: String| ConnectError::Refused {
-        address,
-        cause,
-        port_closed: false,
-    };
-    let stream = connect(address, source_address).await;
-    let stream = stream.map_err(|error| ConnectError::Refused {
-        address,
-        cause: error.to_string(),
-        port_closed: error.kind() == ErrorKind::ConnectionRefused,
-    })?;
-    set_socket_options(&stream).map_err(|error| refused(error.to_string()))?;
-    let stream = SocketStream::new(stream).map_err(|error| refused(error.to_string()))?;
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
-        .handshake(stream)
-        .await
-        .map_err(|error| refused(error.to_string()))?;
-    // Errors of the connection are returned to the exchange by the sender.
-    let connection_task = async move {
-        let _ = connection.await;
-    };
-    compio::runtime::spawn(connection_task).detach();
-    Ok(sender)
+// Tells whether a connection ended because bytes arrived on it while no request was sent. Errors of the socket have a
+// source; those of an exchange are returned to the exchange by the sender.
+fn is_surplus(error: &hyper::Error) -> bool {
+    let ended = error.is_closed() || error.is_canceled() || error.is_incomplete_message();
+    !ended && std::error::Error::source(error).is_none()
 }
 
 fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
