net: a pooled connection carries one identifier once

Callers saw: a request that may run once answered with 503, 429 or 421 although it ran (REFUSED), and one that ran twice (TWICE).

Cause: an answer was matched to a request, by its identifier, where it has to be matched to an attempt. A connection returned to the pool after a refusal, and the one used last is taken first, so a later attempt with the same identifier could meet it: at another name of the same address (attempts exclude targets by name, connections are pooled by address), when a caller sends an identifier again, and when a request is passed again. The target's copy of the first refusal bears the right identifier and was accepted as the answer to the attempt that ran.

Change: no identifier on the wire distinguishes attempts, so the connection does. It remembers the identifiers that it carried, as hashes, and the pool does not hand it out for one of them again. After 512 requests it is closed, which bounds the memory to about 8 KB for each.

Why it works: a surplus answer travels on the connection of its original. If no attempt with its identifier follows there, the identifier tells again.

Ways weighed: closing a connection after each refusal (a new connection for each refusal while a service sheds, and copies of other answers are still accepted); excluding addresses instead of names (one of two names at an address would never be reached after a 421, and identifiers sent again are not covered).

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -158,7 +158,7 @@
     bounds: ExchangeBounds,
 ) -> Result<Response<Incoming>, AttemptFailure> {
     let pool = Rc::clone(&guard.pool);
-    let connection = pool.take(address, bounds.need).await;
+    let connection = pool.take(address, None, bounds.need).await;
     let connection = connection.map_err(|error: ConnectError| AttemptFailure::not_run(error))?;
     guard.reused.0.set(connection.idle_for.is_some());
     let connection = guard.connection.insert(connection);
--- a/crates/gateway/src/proxy/probe.rs
+++ b/crates/gateway/src/proxy/probe.rs
@@ -48,7 +48,7 @@
 
 impl TargetProbe {
     async fn run(self) {
-        let taken = self.pool.take(self.address, self.need);
+        let taken = self.pool.take(self.address, None, self.need);
         let taken = compio::time::timeout(PROBE_TIMEOUT, taken).await;
         let now = boot_time();
         self.probed.borrow_mut().remove(&self.target);
--- a/crates/gateway/src/reach_probe.rs
+++ b/crates/gateway/src/reach_probe.rs
@@ -111,7 +111,7 @@
             max_idle_time: Duration::ZERO,
             max_connections: (service.max_connections / hosts).max(1),
         };
-        let taken = self.pool.take(target.address, options);
+        let taken = self.pool.take(target.address, None, options);
         match compio::time::timeout(PROBE_TIMEOUT, taken).await {
             Ok(Ok(connection)) => {
                 self.pool.put(connection);
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -175,7 +175,7 @@
     on_connected: impl FnOnce(Duration),
 ) -> AttemptReport {
     let started_at = boot_time();
-    let mut connection = match connect(pool, options).await {
+    let mut connection = match connect(pool, &request.id, options).await {
         Ok(connection) => {
             if connection.idle_for.is_none() {
                 on_connected(boot_time().saturating_sub(started_at));
@@ -234,7 +234,7 @@
     request: &PreparedRequest,
     options: AttemptOptions,
 ) -> AttemptReport {
-    let mut connection = match connect(pool, options).await {
+    let mut connection = match connect(pool, &request.id, options).await {
         Ok(connection) => connection,
         Err(outcome) => return AttemptReport::new(outcome),
     };
@@ -274,6 +274,7 @@
 
 async fn connect(
     pool: &ConnectionPool,
+    request: &str,
     options: AttemptOptions,
 ) -> Result<PooledConnection, AttemptOutcome> {
     let need = ConnectionOptions {
@@ -283,7 +284,7 @@
     let time_left = options.deadline.saturating_sub(boot_time());
     let taken = compio::time::timeout(
         CONNECT_TIMEOUT.min(time_left),
-        pool.take(options.address, need),
+        pool.take(options.address, Some(request), need),
     );
     match taken.await {
         Ok(Ok(connection)) => Ok(connection),
--- a/crates/net/src/carried.rs
+++ b/crates/net/src/carried.rs
@@ -5,6 +5,9 @@
     hash::{BuildHasher, RandomState},
 };
 
+/// Largest number of requests on one connection, which bounds the memory for their hashes to about 8 KB.
+const MAX_REQUESTS: u64 = 512;
+
 /// `CarriedRequests` is the set of requests that were sent on one connection, by the hash of their identifiers. Two
 /// identifiers with the same hash count as one.
 #[derive(Clone, Debug, Default)]
@@ -26,6 +29,11 @@
         self.hashes.contains(&self.hasher.hash_one(request))
     }
 
+    /// Tells whether the connection may carry no further requests.
+    pub fn is_full(&self) -> bool {
+        self.exchange_count >= MAX_REQUESTS
+    }
+
     /// Gets the number of requests that were sent, repeated ones included.
     pub fn exchange_count(&self) -> u64 {
         self.exchange_count
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connection pools for targets and peers. A connection carries one exchange at a time. It is closed if
 //! its exchange was cancelled or cut off, so that a late response cannot be taken for that of another
-//! request.
+//! request. It carries one identifier once, so that the copy of a response cannot be taken for that of a later
+//! attempt.
 
 use crate::{body::OutboundBody, carried::CarriedRequests, socket::connect, stream::SocketStream};
 use compio::net::TcpStream;
@@ -190,7 +191,8 @@
         self
     }
 
-    /// Takes an idle connection whose idle time is within the limit, or opens a new one.
+    /// Takes an idle connection whose idle time is within the limit, or opens a new one. With the identifier of a
+    /// `request`, the connection has not carried it before.
     ///
     /// # Errors
     ///
@@ -198,9 +200,10 @@
     pub async fn take(
         &self,
         address: SocketAddr,
+        request: Option<&str>,
         options: ConnectionOptions,
     ) -> Result<PooledConnection, ConnectError> {
-        while let Some(idle) = self.take_idle(address, options.max_idle_time) {
+        while let Some(idle) = self.take_idle(address, request, options.max_idle_time) {
             let idle_for = Some(idle.idle_duration());
             let mut sender = idle.sender;
             // The connection's task may not yet have processed the end of the last exchange.
@@ -240,7 +243,7 @@
     /// Returns a connection to the pool that must not be reused after it was idle for `idle_timeout`, or
     /// for the pool's own idle time if that is shorter.
     pub fn put_with_idle_timeout(&self, connection: PooledConnection, idle_timeout: Duration) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || connection.carried.is_full() {
             return;
         }
         let mut addresses = self.addresses.borrow_mut();
@@ -281,20 +284,20 @@
     }
 
     // The connection used last is the least likely to be dead.
-    fn take_idle(&self, address: SocketAddr, max_idle_time: Duration) -> Option<IdleConnection> {
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        request: Option<&str>,
+        max_idle_time: Duration,
+    ) -> Option<IdleConnection> {
         let mut addresses = self.addresses.borrow_mut();
         let pool = addresses.get_mut(&address)?;
-        while let Some(idle) = pool.idle.pop() {
-            if !idle.is_usable() {
-                continue;
-            }
-            if idle.idle_duration() > max_idle_time {
-                pool.idle.push(idle);
-                return None;
-            }
-            return Some(idle);
-        }
-        None
+        pool.idle.retain(IdleConnection::is_usable);
+        let index = pool.idle.iter().rposition(|idle| {
+            let repeated = request.is_some_and(|request| idle.carried.contains(request));
+            idle.idle_duration() <= max_idle_time && !repeated
+        })?;
+        Some(pool.idle.remove(index))
     }
 
     fn reserve(&self, address: SocketAddr, limit: u32) -> Result<ConnectionGuard, ConnectError> {
