core: a line of a daemon bears the time at which it was logged

Cause: a daemon's lines wait in a queue, and the time was read as the line was written. With two queues, lines of one request could be out of order by it. Change: the time is read as the line enters its queue.

Conclusion: times of the two queues compare.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -1,6 +1,9 @@
 //! Loggers that write JSON lines.
 
-use slog::{Drain, Level, LevelFilter, Logger, OwnedKVList, PushFnValue, Record, o};
+use crate::clock::wall_millis;
+use slog::{
+    Drain, Level, LevelFilter, Logger, OwnedKV, OwnedKVList, PushFnValue, Record, SingleKV, o,
+};
 use slog_async::{Async, OverflowStrategy};
 use std::{io::Write, sync::Mutex};
 
@@ -14,7 +17,11 @@
 pub fn new_logger(host: &str, level: Level) -> Logger {
     let drain = Mutex::new(json_drain(std::io::stderr())).map(slog::Fuse);
     let filtered = LevelFilter::new(drain, level);
-    Logger::root(filtered.map(slog::Fuse), o!("host" => host.to_owned()))
+    let time = PushFnValue(|_: &Record<'_>, ser| ser.emit(wall_millis()));
+    Logger::root(
+        filtered.map(slog::Fuse),
+        o!("host" => host.to_owned(), "time" => time),
+    )
 }
 
 /// Creates a logger to standard output for daemons, with the same lines as [`new_logger`].
@@ -49,10 +56,13 @@
     type Err = slog::Never;
 
     fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), slog::Never> {
+        // A queue may be written late.
+        let time = SingleKV("time", wall_millis());
+        let values = OwnedKVList::from(OwnedKV((time, values.clone())));
         if record.tag() == RETAINED || record.level().is_at_least(Level::Warning) {
-            return self.retained.log(record, values);
+            return self.retained.log(record, &values);
         }
-        self.other.log(record, values)
+        self.other.log(record, &values)
     }
 }
 
@@ -97,7 +107,6 @@
     slog_json::Json::new(output)
         .set_flush(true)
         .add_key_value(o!(
-            "time" => PushFnValue(|_: &Record<'_>, ser| ser.emit(crate::clock::wall_millis())),
             "level" => PushFnValue(|record: &Record<'_>, ser| ser.emit(record.level().as_str())),
             "message" => PushFnValue(|record: &Record<'_>, ser| ser.emit(record.msg())),
         ))
--- a/crates/core/tests/log.rs
+++ b/crates/core/tests/log.rs
@@ -1,6 +1,9 @@
 //! Lines of daemons: which of them a burst displaces.
 
-use fighall_core::log::{RETAINED, new_queued_logger};
+use fighall_core::{
+    clock::wall_millis,
+    log::{RETAINED, new_queued_logger},
+};
 use slog::{Level, info, warn};
 use std::{
     io::Write,
@@ -25,6 +28,28 @@
     }
 }
 
+#[test]
+fn line_that_is_written_late_has_the_time_at_which_it_was_logged() {
+    let output = SlowOutput::default();
+    let shared = output.clone();
+    let logger = new_queued_logger("h1", Level::Info, move || shared.clone());
+    for number in 0..2_000 {
+        info!(logger, "attempt ended"; "number" => number);
+    }
+    let logged_at = wall_millis();
+    drop(logger);
+    assert!(
+        wall_millis() > logged_at + 200,
+        "the lines are written late"
+    );
+    let lines = output.0.lock().expect("the lines").clone();
+    for line in String::from_utf8(lines).expect("text").lines() {
+        let line: serde_json::Value = serde_json::from_str(line).expect("a JSON object");
+        let time = line["time"].as_u64().expect("a time");
+        assert!(time <= logged_at, "{line}, after {logged_at}");
+    }
+}
+
 #[test]
 fn burst_of_lines_displaces_neither_refusals_nor_warnings() {
     let output = SlowOutput::default();
