deploy: name the version of an upgrade's begin

Messages between hosts have not changed since (no difference in message.rs), so the recorded ones are those of both.

--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -10,7 +10,7 @@
 use fighall_store::object::ObjectChange;
 use std::collections::BTreeMap;
 
-/// Heartbeat, digest and changes as 84fcd13 encodes them. They stay when messages get new fields.
+/// Heartbeat, digest and changes as 84fcd13 and 2398a11 encode them. They stay when messages get new fields.
 const RECORDED: [&str; 3] = [
     "a16162aa616862683161690361741903e86165a36169026174190384616418326172f5616cf46163a861700b\
      616e04616118fa616f185a6177f461730c617a0d61780e617581a4616f65616e646573616e182a6171f94780\
