gateway: store watchers forward what only a list shows

Cause: after the store discarded its history, a store watcher lists again and applies what is gone, but only changes of a watch were forwarded. The others receive no gap either, so nothing makes them query the store. Change: a later list than the first one is forwarded as changes: what is newer than the watcher's complete version, and targets and evacuations that are gone, at the version of the list. Not across eras, and no removals while the store may have lost objects. Why it works: the message continues at the watcher's complete version, so a receiver applies it or notices the gap, and objects of later versions stay.

Evidence: removal_that_only_a_list_shows_reaches_all_hosts_within_the_drain_bound fails before (15 requests after the bound) and passes; region, copies, eras, following: 20 of 20. Conclusion: the list is the truth for those that it is forwarded to as well.

--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -189,32 +189,41 @@
     }
 
     /// Drops the objects that are missing from a complete list of `version`, except those applied at a
-    /// later version.
+    /// later version. Returns the names of the targets or evacuations that are gone; none while the store may have lost
+    /// them.
     pub fn retain_listed(
         &self,
         kind: FollowedKind,
         now: BootTime,
         version: Version,
         mut names: BTreeSet<String>,
-    ) {
+    ) -> Vec<String> {
         for ((applied_kind, name), applied_version) in self.applied.borrow().iter() {
             if *applied_kind == kind && *applied_version > version {
                 names.insert(name.clone());
             }
         }
         match kind {
-            FollowedKind::Policy => {}
-            FollowedKind::Targets => self.router.borrow_mut().roster.retain_listed(now, &names),
-            FollowedKind::Evacuations if self.is_recently_restored(now) => {}
+            FollowedKind::Policy => Vec::new(),
+            FollowedKind::Targets => {
+                let missing = self.router.borrow_mut().roster.retain_listed(now, &names);
+                if self.is_recently_restored(now) {
+                    return Vec::new();
+                }
+                missing
+            }
+            FollowedKind::Evacuations if self.is_recently_restored(now) => Vec::new(),
             FollowedKind::Evacuations => {
-                self.evacuated_zones
-                    .borrow_mut()
-                    .retain(|zone| names.contains(zone));
+                let zones = self.evacuated_zones.take();
+                let (listed, missing) = zones.into_iter().partition(|zone| names.contains(zone));
+                *self.evacuated_zones.borrow_mut() = listed;
                 self.set_evacuations(now);
+                BTreeSet::into_iter(missing).collect()
             }
             FollowedKind::Hosts => {
                 let mut router = self.router.borrow_mut();
                 router.fleet.retain_listed(now, |host| names.contains(host));
+                Vec::new()
             }
         }
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -298,7 +298,7 @@
         match step {
             WatchStep::Listed { list, sent_at } => {
                 self.note_store_version(list.version);
-                state.complete_version.set(list.version);
+                let previous = state.complete_version.replace(list.version);
                 state.forwarded_version.set(list.version);
                 let names: BTreeSet<_> = list
                     .objects
@@ -308,7 +308,8 @@
                 for object in &list.objects {
                     self.copies.apply_object(kind, now, object);
                 }
-                self.copies.retain_listed(kind, now, list.version, names);
+                let missing = self.copies.retain_listed(kind, now, list.version, names);
+                self.queue_list(kind, previous, &list, missing);
                 self.confirm(kind, state, sent_at.unwrap_or_default());
             }
             WatchStep::Changed {
--- a/crates/gateway/src/follow/forwarding.rs
+++ b/crates/gateway/src/follow/forwarding.rs
@@ -12,7 +12,10 @@
     clock::boot_time,
     ids::{BootTime, Version},
 };
-use fighall_store::object::ObjectChange;
+use fighall_store::{
+    era::era_of,
+    object::{ObjectChange, ObjectList},
+};
 use slog::info;
 use std::time::Duration;
 
@@ -144,6 +147,46 @@
     }
 }
 
+impl StoreFollower {
+    // Queues what a later list than the first shows: objects of versions after `previous`, and those that are gone. The
+    // history with the changes is no longer available to other hosts either.
+    pub(super) fn queue_list(
+        &self,
+        kind: FollowedKind,
+        previous: Version,
+        list: &ObjectList,
+        missing: Vec<String>,
+    ) {
+        let state = self.kinds.get(&kind);
+        let is_listed = state.is_some_and(|state| state.listed.get());
+        if !is_listed || era_of(previous) != era_of(list.version) || list.version <= previous {
+            return;
+        }
+        let mut changes = Vec::new();
+        for object in &list.objects {
+            if object.version > previous {
+                changes.push(ObjectChange {
+                    name: object.name.clone(),
+                    version: object.version,
+                    value: Some(object.value.clone()),
+                });
+            }
+        }
+        changes.sort_by_key(|change| change.version);
+        for name in missing {
+            changes.push(ObjectChange {
+                name,
+                version: list.version,
+                value: None,
+            });
+        }
+        if !changes.is_empty() {
+            let messages = split_changes(kind, previous, list.version, &changes);
+            self.outbox.borrow_mut().extend(messages);
+        }
+    }
+}
+
 // Splits changes into messages of limited size, each of which continues where the one before ends.
 fn split_changes(
     kind: FollowedKind,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -250,16 +250,17 @@
     }
 
     /// Applies a complete list of the store: entries that are missing from it are no longer listed.
-    pub fn retain_listed(&mut self, now: BootTime, listed: &BTreeSet<TargetId>) {
+    pub fn retain_listed(&mut self, now: BootTime, listed: &BTreeSet<TargetId>) -> Vec<TargetId> {
         let missing: Vec<_> = self
             .records
             .keys()
             .filter(|name| !listed.contains(*name))
             .cloned()
             .collect();
-        for name in missing {
-            self.mark_unlisted(now, &name);
+        for name in &missing {
+            self.mark_unlisted(now, name);
         }
+        missing
     }
 
     /// Removes the entries whose grace period has passed. Returns their names.
--- a/crates/gateway/tests/region.rs
+++ b/crates/gateway/tests/region.rs
@@ -9,6 +9,8 @@
 use support::{KEY, TestFleet, put_target, send, settings, start_gateway};
 
 const FORWARDING_TIME: Duration = Duration::from_secs(1);
+/// Time after which a target that is gone gets no requests.
+const DRAIN_BOUND: Duration = Duration::from_millis(2_500);
 
 fn run(test: impl Future<Output = ()>) {
     let runtime = compio::runtime::Runtime::new().expect("the runtime should start");
@@ -189,3 +191,31 @@
         }
     });
 }
+
+// Regression: hosts that do not watch the store used a removed target for 12 s if only a list showed its removal.
+#[test]
+fn removal_that_only_a_list_shows_reaches_all_hosts_within_the_drain_bound() {
+    run(async {
+        let fleet = TestFleet::start(2, "").await;
+        let mut hosts = vec![fleet.callers];
+        hosts.extend(add_hosts(fleet.store.address(), 4).await);
+        fleet.publish(|_| {}).await;
+        compio::time::sleep(Duration::from_millis(3_500)).await;
+        let runs = || fleet.targets[0].with_record(|record| record.started);
+        for number in 0..10 {
+            let path = format!("/read/{number}");
+            let mark = format!("before-{number}");
+            assert_eq!(statuses(&hosts, &path, &mark).await, [200; 5]);
+        }
+        assert!(runs() > 0, "the target is used by then");
+        fleet.store.delete_with_history(TARGETS, "t0");
+        compio::time::sleep(DRAIN_BOUND).await;
+        let before = runs();
+        for number in 0..10 {
+            let path = format!("/read/{number}");
+            let mark = format!("after-{number}");
+            assert_eq!(statuses(&hosts, &path, &mark).await, [200; 5]);
+        }
+        assert_eq!(runs() - before, 0, "requests at the removed target");
+    });
+}
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -124,6 +124,11 @@
         self.state.write(kind, name, None);
     }
 
+    /// Deletes an object and discards the history of its kind, so that only a list shows that it is gone.
+    pub fn delete_with_history(&self, kind: &str, name: &str) {
+        self.state.delete_with_history(kind, name);
+    }
+
     /// Reads an object past all faults.
     pub fn get(&self, kind: &str, name: &str) -> Option<StoreObject> {
         let kinds = self.state.kinds.borrow();
@@ -351,6 +356,17 @@
         Ok(answer)
     }
 
+    fn delete_with_history(&self, kind: &str, name: &str) {
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        if let Some(state) = self.kinds.borrow_mut().get_mut(kind) {
+            state.objects.remove(name);
+            state.log.clear();
+            state.compacted = version;
+        }
+        self.changed.notify(usize::MAX);
+    }
+
     fn write(&self, kind: &str, name: &str, value: Option<String>) -> Version {
         let version = self.version.get() + 1;
         self.version.set(version);
