gateway: return an error of a passed request only if it belongs to that request

Callers saw: the 500, 404 or 307 of another request, or of another program at the address of a host, in answer to a request that a host passed on (MIXED). No case is known from the record; found in review.

Cause: the class of the incident: an answer that is matched to nothing. Of the responses to a passed request, successes were checked for the identifier and the statuses that promise for the mark of the host; all other statuses were returned as they came.

Change: a response without the mark of the host is accepted only with the identifier of the request, and never as a promise.

--- a/crates/gateway/src/validation.rs
+++ b/crates/gateway/src/validation.rs
@@ -68,8 +68,8 @@
     // Another program may run at the address by now, and a kept connection may return a response twice.
     let passed = response.headers.remove(PASSED_HEADER);
     let is_of_host = passed.is_some_and(|id| id.as_bytes() == request.id.as_bytes());
-    if promises_no_run(response.status) && !is_of_host {
-        return invalid_response("refusal is not that of a host to the request".to_owned());
+    if !is_of_host && (promises_no_run(response.status) || !identifier_matches) {
+        return invalid_response("response is not that of a host to the request".to_owned());
     }
     AttemptOutcome::Answered(response)
 }
--- a/crates/gateway/tests/promises.rs
+++ b/crates/gateway/tests/promises.rs
@@ -157,6 +157,39 @@
     });
 }
 
+// Regression: an error that belonged to another request, or to none, was returned to the caller of a passed request.
+#[test]
+fn error_that_is_not_that_of_a_host_to_a_passed_request_is_not_returned() {
+    run(async {
+        let foreign = [
+            "HTTP/1.1 500 Status\r\nfighall-request: p0\r\nfighall-target: t0\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 500 Status\r\nfighall-passed: p0\r\nfighall-request: p0\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 404 Status\r\nfighall-passed: p0\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 404 Status\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 307 Status\r\ncontent-length: 0\r\n\r\n",
+        ];
+        for response in foreign {
+            let outcome = pass(response).await;
+            assert!(
+                matches!(outcome, AttemptOutcome::Unknown { .. }),
+                "{response}: {outcome:?}"
+            );
+        }
+        let own = [
+            "HTTP/1.1 500 Status\r\nfighall-passed: p1\r\nfighall-request: p1\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 404 Status\r\nfighall-passed: p1\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 500 Status\r\nfighall-request: p1\r\nfighall-target: t0\r\ncontent-length: 0\r\n\r\n",
+        ];
+        for response in own {
+            let outcome = pass(response).await;
+            assert!(
+                matches!(outcome, AttemptOutcome::Answered(_)),
+                "{response}: {outcome:?}"
+            );
+        }
+    });
+}
+
 // Collects the lines of a host.
 #[derive(Clone, Default)]
 struct SharedLines(Arc<Mutex<Vec<u8>>>);
