gateway: treat 101 of a target as no answer

Callers saw: 101 as the final status of a request, and 503 as a promise where the 101 stated that the request did not run and the answer to it followed. Found in review, with a target of our own; no case is known from the record.

Cause: the library skips interim responses but returns 101, because the connection changes its protocol with it. Requests reach targets without Upgrade, so no 101 is an answer; it was accepted with the identifier like any other status.

Change: an informational status is an invalid response: the outcome is unknown, a request that may run once gets 502, and the connection is closed.

Evidence: interim_status_is_neither_an_answer_nor_a_promise: red before (101 for 502), green now; 100, 102, 103 and 199 with the statement were skipped before as well.

--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -362,6 +362,12 @@
             return (ResponseMetadata::default(), outcome, false);
         }
     };
+    // The library returns 101, since the connection changes its protocol with it.
+    if response.status().is_informational() {
+        let cause = format!("status {} is not final", response.status().as_u16());
+        let outcome = incomplete_response(cause, false);
+        return (ResponseMetadata::default(), outcome, false);
+    }
     let mut metadata = (dialect.read_response_headers)(response.headers());
     if response.status() != StatusCode::SERVICE_UNAVAILABLE {
         metadata.retry_after = None;
--- a/crates/gateway/tests/promises.rs
+++ b/crates/gateway/tests/promises.rs
@@ -102,6 +102,26 @@
     });
 }
 
+// Regression: 101 reached the caller as a final status, and as a promise if it stated that the request did not run.
+#[test]
+fn interim_status_is_neither_an_answer_nor_a_promise() {
+    run(async {
+        for statement in ["", "fighall-run: no\r\n"] {
+            for status in [100, 101, 102, 103, 199] {
+                let respond = move |id: &str| {
+                    format!(
+                        "HTTP/1.1 {status} Status\r\nfighall-request: {id}\r\n{statement}\r\n\
+                         HTTP/1.1 500 Status\r\nfighall-request: {id}\r\ncontent-length: 0\r\n\r\n"
+                    )
+                };
+                let expected = if status == 101 { 502 } else { 500 };
+                let answered = status_for("/write/a", respond).await;
+                assert_eq!(answered, expected, "{status} {statement}");
+            }
+        }
+    });
+}
+
 // Passes a request to a host that answers with `response`. Returns the outcome for the caller.
 async fn pass(response: &'static str) -> AttemptOutcome {
     let address = start_server(|_| response.to_owned()).await;
