entry: an answer with another request's identifier is not accepted

Callers saw: the answer to another request, or the answer to an earlier attempt of their request, where a target behind an entry host sends an answer twice. Found in review, with a target of our own; no case is known from the record.

Refusals were not affected: the connection of a marked refusal is closed.

Change: an answer that names another request is an attempt whose outcome is unknown, and its connection is closed; a connection carries an identifier once. Targets that return no identifier are served as before, and not protected.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -4,10 +4,11 @@
 use fighall_core::{clock::boot_time, ids::BootTime, value};
 use fighall_net::{
     body::OutboundBody,
+    headers::REQUEST_HEADER,
     pool::{ConnectError, ConnectionOptions, ConnectionPool, PooledConnection},
 };
 use fighall_route::retry::AttemptResult;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -145,7 +146,8 @@
     }
 }
 
-/// Sends a request over a connection and waits for the answer's head.
+/// Sends a request over a connection and waits for the answer's head. An answer with the identifier of another
+/// request is not accepted.
 ///
 /// # Errors
 ///
@@ -158,7 +160,9 @@
     bounds: ExchangeBounds,
 ) -> Result<Response<Incoming>, AttemptFailure> {
     let pool = Rc::clone(&guard.pool);
-    let connection = pool.take(address, None, bounds.need).await;
+    let id = request.headers().get(&REQUEST_HEADER).cloned();
+    let text = id.as_ref().and_then(|id| id.to_str().ok());
+    let connection = pool.take(address, text, bounds.need).await;
     let connection = connection.map_err(|error: ConnectError| AttemptFailure::not_run(error))?;
     guard.reused.0.set(connection.idle_for.is_some());
     let connection = guard.connection.insert(connection);
@@ -167,9 +171,19 @@
         return Err(AttemptFailure::not_run("the time was up before sending"));
     }
     guard.running = true;
+    if let Some(text) = text {
+        connection.carried.add(text);
+    }
     let sending = connection.sender.try_send_request(request);
     match compio::time::timeout(left, sending).await {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => {
+            if is_of_another(&response, id.as_ref()) {
+                guard.connection = None;
+                let cause = "the answer belongs to another request";
+                return Err(AttemptFailure::may_have_run(cause));
+            }
+            Ok(response)
+        }
         Ok(Err(mut error)) => {
             guard.connection = None;
             let unsent = error.take_message().is_some();
@@ -189,6 +203,12 @@
     }
 }
 
+// Targets need not return the identifier; probes have none.
+fn is_of_another(response: &Response<Incoming>, id: Option<&HeaderValue>) -> bool {
+    let returned = response.headers().get(&REQUEST_HEADER);
+    returned.is_some() && returned != id
+}
+
 fn millis(duration: Duration) -> u128 {
     duration.as_millis()
 }
