soak: targets that copy refusals and start again under new names

Callers saw: a request answered with a status that promises that it did not run, and run.

The stand-in of a target has a behaviour `copies_refusals_percent`: a refusal (503 beyond the slots, 421 for another target) is followed by a copy of itself on the same connection, at once, after up to 50 ms, or right before the response to the next request. The fault `RefusalsCopied`, last of all kinds, lets all targets have one slot and copy 90 in 100 refusals; half of them start again at their address under a new name, four times, while the former entries stay listed. The seeded test that plays all kinds leaves it out, as it does the later kinds, so that its seed keeps its faults. The check compares each 408, 421, 429 and 503 with the runs of all targets, those that have gone included; it needed no change.

Conclusion: the copy of a refusal is taken for the response to a later attempt of the same request on the same connection.

--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -34,7 +34,11 @@
 #[test]
 fn no_kind_of_fault_violates_a_guarantee() {
     // Later kinds are left out so that the seed yields the same faults as when it first failed.
-    let later = [FaultKind::StoreRestored, FaultKind::TargetLimited];
+    let later = [
+        FaultKind::StoreRestored,
+        FaultKind::TargetLimited,
+        FaultKind::RefusalsCopied,
+    ];
     let kinds = ALL_FAULTS.into_iter();
     let kinds: Vec<_> = kinds.filter(|kind| !later.contains(kind)).collect();
     soak("all", 9, &kinds);
@@ -68,6 +72,19 @@
     soak("limited", 5, &kinds);
 }
 
+#[test]
+fn the_copy_of_a_refusal_is_not_taken_for_that_of_a_request_that_runs() {
+    let kinds = [
+        FaultKind::RefusalsCopied,
+        FaultKind::RefusalsCopied,
+        FaultKind::RefusalsCopied,
+        FaultKind::TargetReplaced,
+        FaultKind::PolicyChanged,
+        FaultKind::HostStop,
+    ];
+    soak("copied", 5, &kinds);
+}
+
 #[test]
 fn planned_operations_alone_interrupt_no_request() {
     let planned: Vec<_> = ALL_FAULTS
--- a/crates/soak/src/bin/fighall-soak.rs
+++ b/crates/soak/src/bin/fighall-soak.rs
@@ -5,9 +5,9 @@
 
 #![forbid(unsafe_code)]
 
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use fighall_soak::{
-    fault::ALL_FAULTS,
+    fault::{ALL_FAULTS, FaultKind},
     run::{SoakOptions, play},
 };
 use std::{path::PathBuf, process::ExitCode, time::Duration};
@@ -35,6 +35,13 @@
         .arg(number("hosts", "6", "Hosts"))
         .arg(number("targets", "8", "Targets"))
         .arg(number("callers", "16", "Callers"))
+        .arg(
+            Arg::new("fault")
+                .long("fault")
+                .action(ArgAction::Append)
+                .value_parser(ALL_FAULTS.map(|kind| format!("{kind:?}")))
+                .help("Kind of fault to start, once or more often; all kinds by default"),
+        )
         .arg(
             Arg::new("folder")
                 .long("folder")
@@ -43,6 +50,17 @@
         )
 }
 
+fn chosen_kinds(matches: &ArgMatches) -> Vec<FaultKind> {
+    let Some(names) = matches.get_many::<String>("fault") else {
+        return ALL_FAULTS.to_vec();
+    };
+    let kind_of = |name: &String| {
+        let mut kinds = ALL_FAULTS.into_iter();
+        kinds.find(|kind| format!("{kind:?}") == *name)
+    };
+    names.filter_map(kind_of).collect()
+}
+
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
@@ -52,6 +70,7 @@
         eprintln!("the runtime could not be started");
         return ExitCode::from(5);
     };
+    let kinds = chosen_kinds(&matches);
     let mut failed = false;
     for seed in number("seed")..number("seed") + number("seeds") {
         let options = SoakOptions {
@@ -62,7 +81,7 @@
             hosts: count("hosts"),
             targets: count("targets"),
             callers: number("callers"),
-            kinds: ALL_FAULTS.to_vec(),
+            kinds: kinds.clone(),
         };
         match runtime.block_on(play(&options)) {
             Ok(report) => {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -3,6 +3,7 @@
 use crate::{
     host::HostProcess,
     ledger::{FaultSpan, LimitSpan},
+    refusals::copy_refusals,
     world::{SoakTarget, SoakWorld},
 };
 use fighall_core::clock::boot_time;
@@ -75,10 +76,12 @@
     PolicyChanged,
     /// A host reads its settings again.
     HostReload,
+    /// Targets shed requests, copy refusals and start again under new names.
+    RefusalsCopied,
 }
 
 /// All kinds of faults.
-pub const ALL_FAULTS: [FaultKind; 23] = [
+pub const ALL_FAULTS: [FaultKind; 24] = [
     FaultKind::StoreDown,
     FaultKind::StoreSlow,
     FaultKind::StoreLosesAnswers,
@@ -102,6 +105,7 @@
     FaultKind::HostReload,
     FaultKind::StoreRestored,
     FaultKind::TargetLimited,
+    FaultKind::RefusalsCopied,
 ];
 
 impl FaultKind {
@@ -219,6 +223,7 @@
         FaultKind::HostReload => any_host(world, pick).signal(Signal::HUP)?,
         FaultKind::KeyWithdrawn => withdraw(world, pick)?,
         FaultKind::PolicyChanged => world.publish(|_| {})?,
+        FaultKind::RefusalsCopied => copy_refusals(world, length, pick).await?,
         _ => disturb_target(world, kind, length, pick).await?,
     }
     Ok(())
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod fault;
 pub mod host;
 pub mod ledger;
+pub mod refusals;
 pub mod run;
 pub mod world;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -35,6 +35,10 @@
 pub const ORG_RATE: f64 = 90.0;
 /// Organisations.
 pub const ORGANISATIONS: [&str; 3] = ["andes", "brisa", "costa"];
+/// Slots of each target.
+pub const TARGET_SLOTS: u32 = 8;
+/// Time within which a closed target has freed its address.
+const CLOSE_TIME: Duration = Duration::from_millis(30);
 /// Regions with their availability zones.
 const ZONES: [(&str, &str); 4] = [
     ("ra-a", "ra"),
@@ -49,7 +53,7 @@
     /// Stand-in.
     pub stand_in: TargetStandIn,
     /// Relay that hosts reach it through.
-    pub relay: FaultRelay,
+    pub relay: Rc<FaultRelay>,
     /// Availability zone.
     pub zone: String,
 }
@@ -153,7 +157,7 @@
         let number = self.number();
         let name = format!("target-{number}");
         let behaviour = TargetBehaviour {
-            slots: 8,
+            slots: TARGET_SLOTS,
             service_us: 8_000,
             sheds: true,
             ..TargetBehaviour::default()
@@ -165,7 +169,7 @@
         let zone = ZONES[usize::try_from(number % zones).unwrap_or(0)].0;
         let target = Rc::new(SoakTarget {
             stand_in,
-            relay,
+            relay: Rc::new(relay),
             zone: zone.to_owned(),
         });
         self.list_target(&name, &target, false)?;
@@ -174,6 +178,33 @@
         Ok(())
     }
 
+    /// Starts a target again at its address under a new name, and lists it. The former entry stays listed.
+    /// Returns whether the target was running until then.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of a socket.
+    pub async fn rename_target(&self, name: &str) -> Result<bool> {
+        let former = self.targets.borrow().get(name).cloned();
+        let Some(former) = former.filter(|target| !target.stand_in.is_closed()) else {
+            return Ok(false);
+        };
+        former.stand_in.close();
+        former.relay.reset();
+        compio::time::sleep(CLOSE_TIME).await;
+        let name = format!("target-{}", self.number());
+        let (address, behaviour) = (former.stand_in.address(), former.stand_in.behaviour());
+        let target = Rc::new(SoakTarget {
+            stand_in: TargetStandIn::start(&name, address, behaviour).await?,
+            relay: Rc::clone(&former.relay),
+            zone: former.zone.clone(),
+        });
+        self.list_target(&name, &target, false)?;
+        self.targets.borrow_mut().insert(name.clone(), target);
+        self.listed.borrow_mut().push(name);
+        Ok(true)
+    }
+
     /// Lists a target, as leaving or not.
     ///
     /// # Errors
@@ -185,7 +216,7 @@
             service: SERVICE.to_owned(),
             address: target.relay.address(),
             zone: target.zone.clone(),
-            slots: 8,
+            slots: TARGET_SLOTS,
             leaving,
             warmup_left: Duration::ZERO,
             started_ms: Some(1),
--- a/crates/testkit/src/behaviour.rs
+++ b/crates/testkit/src/behaviour.rs
@@ -14,6 +14,9 @@
         pub probe_us: u64,
         /// Refuses requests beyond the slots with the "not run" mark.
         pub sheds: bool,
+        /// Part of the refusals, in percent, that are followed by a copy on the same connection: at once, after
+        /// a delay, or right before the response to the next request.
+        pub copies_refusals_percent: u32,
         /// Time that a request takes longer while the cache is cold, in microseconds.
         pub cold_us: u64,
         /// Requests after which the cache is warm.
@@ -49,6 +52,7 @@
             service_us: 5_000,
             probe_us: 6_000,
             sheds: false,
+            copies_refusals_percent: 0,
             cold_us: 0,
             warm_after: 0,
             silent_before: 0,
--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -1,7 +1,10 @@
 //! A small HTTP server for stand-ins, which may break a connection instead of answering.
 
 use bytes::Bytes;
-use compio::net::{TcpListener, TcpStream};
+use compio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+};
 use cyper_core::HyperStream;
 use futures_util::{FutureExt, pin_mut, select_biased};
 use http::{Request, Response};
@@ -13,12 +16,13 @@
 };
 use snafu::Snafu;
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     future::Future,
     net::SocketAddr,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
+    time::Duration,
 };
 
 /// `BrokenExchange` ends a connection without an answer, or within one.
@@ -26,6 +30,15 @@
 #[snafu(display("the stand-in broke the connection"))]
 pub struct BrokenExchange;
 
+/// `CopyMoment` is an extension of a response without a body: when the connection sends a copy of it.
+#[derive(Debug, Clone, Copy)]
+pub enum CopyMoment {
+    /// After a delay.
+    Delayed(Duration),
+    /// Right before the response to the next request.
+    BeforeNext,
+}
+
 /// `StandInBody` is an answer's body that may be cut.
 #[derive(Debug)]
 pub struct StandInBody {
@@ -119,6 +132,11 @@
         self.address
     }
 
+    /// Tells whether the server was closed.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.get()
+    }
+
     /// Closes the listening socket and all connections, as the end of the process would.
     pub fn close(&self) {
         self.is_closed.set(true);
@@ -165,6 +183,53 @@
     }
 }
 
+// Sends copies of responses on a connection, past the HTTP implementation.
+struct CopySender {
+    stream: TcpStream,
+    // Copies that the response to the next request follows.
+    held: RefCell<Vec<u8>>,
+}
+
+impl CopySender {
+    async fn send_held(&self) {
+        let held = self.held.take();
+        if !held.is_empty() {
+            let _ = self.stream.clone().write_all(held).await;
+        }
+    }
+
+    fn take_copy(&self, response: &Response<StandInBody>) {
+        match response.extensions().get() {
+            Some(CopyMoment::BeforeNext) => {
+                self.held.borrow_mut().extend(encode_head(response));
+            }
+            Some(CopyMoment::Delayed(delay)) => {
+                let (mut stream, delay) = (self.stream.clone(), *delay);
+                let copy = encode_head(response);
+                let send = async move {
+                    compio::time::sleep(delay).await;
+                    let _ = stream.write_all(copy).await;
+                };
+                compio::runtime::spawn(send).detach();
+            }
+            None => {}
+        }
+    }
+}
+
+fn encode_head(response: &Response<StandInBody>) -> Vec<u8> {
+    let status = response.status();
+    let mut head = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n").into_bytes();
+    for (name, value) in response.headers() {
+        head.extend_from_slice(name.as_str().as_bytes());
+        head.extend_from_slice(b": ");
+        head.extend_from_slice(value.as_bytes());
+        head.extend_from_slice(b"\r\n");
+    }
+    head.extend_from_slice(b"\r\n");
+    head
+}
+
 async fn serve<H, F>(stream: TcpStream, number: u64, handler: H, closed: Rc<event_listener::Event>)
 where
     H: Fn(Request<Incoming>, u64) -> F,
@@ -172,7 +237,20 @@
 {
     let _ = stream.set_nodelay(true);
     let ended = closed.listen().fuse();
-    let service = service_fn(|request| handler(request, number));
+    let copies = CopySender {
+        stream: stream.clone(),
+        held: RefCell::default(),
+    };
+    let service = service_fn(|request| {
+        let response = handler(request, number);
+        let copies = &copies;
+        async move {
+            let response = response.await?;
+            copies.send_held().await;
+            copies.take_copy(&response);
+            Ok::<_, BrokenExchange>(response)
+        }
+    });
     let connection = http1::Builder::new()
         .serve_connection(HyperStream::new_plain(stream), service)
         .fuse();
--- a/crates/testkit/src/target.rs
+++ b/crates/testkit/src/target.rs
@@ -3,7 +3,7 @@
 use crate::{
     behaviour::TargetBehaviour,
     record::TargetRecord,
-    server::{BrokenExchange, StandInBody, StandInServer},
+    server::{BrokenExchange, CopyMoment, StandInBody, StandInServer},
 };
 use bytes::Bytes;
 use event_listener::Event;
@@ -41,6 +41,8 @@
 const LEAVING_HEADER: &str = "fighall-leaving";
 /// Start of all keys.
 const KEY_PREFIX: &str = "fk_";
+/// Longest delay of the copy of a refusal, in milliseconds.
+const MAX_COPY_DELAY_MS: u64 = 50;
 /// Starts kept for each organisation.
 const STARTS_LIMIT: usize = 200_000;
 
@@ -127,6 +129,11 @@
         self.server.address()
     }
 
+    /// Gets the behaviour.
+    pub fn behaviour(&self) -> TargetBehaviour {
+        self.state.behaviour.borrow().clone()
+    }
+
     /// Changes the behaviour.
     pub fn change(&self, change: impl FnOnce(&mut TargetBehaviour)) {
         change(&mut self.state.behaviour.borrow_mut());
@@ -148,6 +155,11 @@
         read(&self.state.record.borrow())
     }
 
+    /// Tells whether the target has ended.
+    pub fn is_closed(&self) -> bool {
+        self.server.is_closed()
+    }
+
     /// Ends the target as a crash would.
     pub fn close(&self) {
         self.server.close();
@@ -268,11 +280,11 @@
         self.note_headers(&parts.headers, parts.uri.query().unwrap_or(""));
         let meant = text(&parts.headers, TARGET_HEADER);
         if !meant.is_empty() && meant != self.name {
-            return Ok(not_run(StatusCode::MISDIRECTED_REQUEST, &parts.headers));
+            return Ok(self.refuse(StatusCode::MISDIRECTED_REQUEST, &parts.headers));
         }
         if behaviour.sheds && self.record.borrow().in_flight >= behaviour.slots {
             self.record.borrow_mut().shed += 1;
-            let mut response = not_run(StatusCode::SERVICE_UNAVAILABLE, &parts.headers);
+            let mut response = self.refuse(StatusCode::SERVICE_UNAVAILABLE, &parts.headers);
             let retry_after = HeaderValue::from_str(&behaviour.shed_retry_after);
             if let Some(retry_after) = retry_after.ok().filter(|value| !value.is_empty()) {
                 response.headers_mut().insert("retry-after", retry_after);
@@ -307,6 +319,20 @@
         Ok(response)
     }
 
+    fn refuse(&self, status: StatusCode, headers: &HeaderMap) -> Response<StandInBody> {
+        let mut response = not_run(status, headers);
+        if self.draw(self.behaviour.borrow().copies_refusals_percent) {
+            let mut random = self.rng.borrow_mut();
+            let moment = match random.u32(0..4) {
+                0 => CopyMoment::Delayed(Duration::ZERO),
+                1 => CopyMoment::Delayed(Duration::from_millis(random.u64(..MAX_COPY_DELAY_MS))),
+                _ => CopyMoment::BeforeNext,
+            };
+            response.extensions_mut().insert(moment);
+        }
+        response
+    }
+
     fn draw(&self, percent: u32) -> bool {
         percent > 0 && self.rng.borrow_mut().u32(0..100) < percent
     }
