--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -13,6 +13,7 @@
 fn soak(name: &str, seed: u64, kinds: &[FaultKind]) {
     let options = SoakOptions {
         program: PathBuf::from(env!("CARGO_BIN_EXE_fighall-gateway")),
+        second_program: None,
         // Concurrent runs of the tests must not share settings files.
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("{name}-{}", std::process::id())),
--- a/crates/soak/src/bin/fighall-soak.rs
+++ b/crates/soak/src/bin/fighall-soak.rs
@@ -29,6 +29,11 @@
                 .required(true)
                 .help("The gateway program, such as target/release/fighall-gateway"),
         )
+        .arg(
+            Arg::new("second-program")
+                .long("second-program")
+                .help("The gateway program of another build, which half of the hosts start with"),
+        )
         .arg(number("seed", "1", "First seed"))
         .arg(number("seeds", "1", "Number of seeds"))
         .arg(number("seconds", "15", "Time during which faults start"))
@@ -75,6 +80,9 @@
     for seed in number("seed")..number("seed") + number("seeds") {
         let options = SoakOptions {
             program: PathBuf::from(text("program")),
+            second_program: matches
+                .get_one::<String>("second-program")
+                .map(PathBuf::from),
             folder: PathBuf::from(text("folder")).join(format!("seed-{seed}")),
             seed,
             length: Duration::from_secs(number("seconds")),
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -5,7 +5,7 @@
 use std::{
     cell::{Cell, RefCell},
     fs::File,
-    io::{Error, Result},
+    io::{Error, Result, Write},
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -33,7 +33,7 @@
     pub directory: SocketAddr,
     /// Relay to the store.
     pub store: FaultRelay,
-    program: PathBuf,
+    programs: Vec<PathBuf>,
     settings: PathBuf,
     log: PathBuf,
     child: RefCell<Option<Child>>,
@@ -41,13 +41,14 @@
 }
 
 impl HostProcess {
-    /// Writes the settings of a host into `folder`; nothing is started yet.
+    /// Writes the settings of a host into `folder`; nothing is started yet. Its starts take turns with
+    /// `programs`.
     ///
     /// # Errors
     ///
     /// Returns the error of picking ports or of writing the settings.
     pub async fn new(
-        program: &Path,
+        programs: Vec<PathBuf>,
         folder: &Path,
         place: HostPlace,
         zones: &[(String, String)],
@@ -76,7 +77,7 @@
         std::fs::write(&settings, text)?;
         Ok(Self {
             log: folder.join(format!("{}.log", place.name)),
-            program: program.to_owned(),
+            programs,
             store: relay,
             child: RefCell::new(None),
             starts: Cell::new(0),
@@ -96,9 +97,13 @@
         if self.is_running() {
             return Ok(());
         }
-        let log = File::options().create(true).append(true).open(&self.log)?;
+        let mut log = File::options().create(true).append(true).open(&self.log)?;
         let errors = log.try_clone()?;
-        let child = Command::new(&self.program)
+        let turn = usize::try_from(self.starts.get()).map_err(Error::other)?;
+        let program = self.programs.iter().cycle().nth(turn);
+        let program = program.ok_or_else(|| Error::other("no program"))?;
+        writeln!(log, "start of {}", program.display())?;
+        let child = Command::new(program)
             .arg(&self.settings)
             .stdin(Stdio::null())
             .stdout(log)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,13 +6,7 @@
     world::SoakWorld,
 };
 use fighall_core::clock::boot_time;
-use std::{
-    cell::Cell,
-    io::Result,
-    path::{Path, PathBuf},
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::Cell, io::Result, path::PathBuf, rc::Rc, time::Duration};
 
 /// Time for the hosts to start.
 const START_TIME: Duration = Duration::from_secs(2);
@@ -26,6 +20,9 @@
 pub struct SoakOptions {
     /// Gateway program.
     pub program: PathBuf,
+    /// Gateway program of another build: half of the hosts start with it, and each later start of a host
+    /// changes its build.
+    pub second_program: Option<PathBuf>,
     /// Folder for settings and logs.
     pub folder: PathBuf,
     /// Seed of the faults and of the callers.
@@ -58,8 +55,9 @@
 /// Returns the error of a socket, a file or a process of the soak's own.
 pub async fn play(options: &SoakOptions) -> Result<SoakReport> {
     std::fs::create_dir_all(&options.folder)?;
-    let program: &Path = &options.program;
-    let world = SoakWorld::new(program, &options.folder, options.hosts, options.targets).await?;
+    let mut programs = vec![options.program.clone()];
+    programs.extend(options.second_program.clone());
+    let world = SoakWorld::new(&programs, &options.folder, options.hosts, options.targets).await?;
     compio::time::sleep(START_TIME).await;
     let stopped = Rc::new(Cell::new(false));
     let mut callers = Vec::new();
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -18,7 +18,7 @@
     collections::{BTreeMap, BTreeSet},
     io::Result,
     net::SocketAddr,
-    path::Path,
+    path::{Path, PathBuf},
     rc::Rc,
     time::Duration,
 };
@@ -84,7 +84,7 @@
     ///
     /// Returns the error of a socket, a file or a process.
     pub async fn new(
-        program: &Path,
+        programs: &[PathBuf],
         folder: &Path,
         hosts: usize,
         targets: usize,
@@ -100,7 +100,10 @@
                 region,
                 zone,
             };
-            let host = HostProcess::new(program, folder, place, &zones, store.address()).await?;
+            let mut programs = programs.to_vec();
+            let first = number % programs.len().max(1);
+            programs.rotate_left(first);
+            let host = HostProcess::new(programs, folder, place, &zones, store.address()).await?;
             processes.push(host);
         }
         let world = Rc::new(Self {
