gateway: split the limiter of rates into the fleet's decisions, buckets, and demand

The two places that counted admissions since the oldest report share one function. Names and the order of all computations are otherwise as before. Conclusion: no change of behaviour.

--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -10,25 +10,20 @@
 //! that has been silent longest last reported. While reports are missing, for whatever reason, no host's share
 //! grows, and the shares of all still add up to one.
 
+mod bucket;
+mod demand;
+
 use crate::message::{OrgUsage, to_f32};
+use bucket::{LOW_WATERMARK, OrgBucket};
 use fighall_core::{
     ids::{BootTime, OrgId},
     value,
 };
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
-/// Fraction of the burst below which hosts keep to their fair shares: more than callers at several
-/// times their rate are admitted between two heartbeats.
-const LOW_WATERMARK: f64 = 0.4;
 /// Fraction of the burst by which concurrent admissions, whose reports are still in transit, may
 /// overdraw the bucket.
 const MAX_OVERDRAFT: f64 = 0.3;
-/// Time at the rate by which admissions that were reported late may exceed the burst and are still made up
-/// for. More is forgotten, so that a wrong count does not keep callers out for long.
-const MAX_DEBT_TIME: Duration = Duration::from_secs(3);
 /// Unreported admissions, as a time at an equal share of the rate, at which they are reported at
 /// once. The unreported admissions of all hosts then stay below the tolerance of quotas.
 const UNREPORTED_TIME: Duration = Duration::from_millis(600);
@@ -37,24 +32,9 @@
 /// Fraction of the burst that all hosts together may admit right after their start, when they do not
 /// know what was admitted before. It stays within the tolerance of quotas.
 const INITIAL_FRACTION: f64 = 0.3;
-/// Age of the demand that a host counts for its own share beyond that of the others' reports: the longest time
-/// that a report takes on its way through the relays.
-const DEMAND_LAG: Duration = Duration::from_millis(800);
-/// Factor by which the hosts together may use more than the common tokens while reports are in transit.
-const COMMON_FACTOR: f64 = 6.0;
-/// Common tokens that each host may use meanwhile in any case, as long as the bucket is fuller than
-/// `HIGH_WATERMARK` of the burst: requests of an organisation within its rate come in small groups.
-const MIN_COMMON_TOKENS: f64 = 4.0;
-const HIGH_WATERMARK: f64 = 0.75;
-/// Fraction of an equal share that a host without demand keeps.
-const MIN_SHARE: f64 = 0.2;
 /// Age of the oldest report of another host from which on hosts keep to their fair shares: 1.5 intervals of
 /// reports.
 const USAGE_TIMEOUT: Duration = Duration::from_millis(600);
-/// Time over which one sample of the demand is counted.
-const DEMAND_WINDOW: Duration = Duration::from_millis(250);
-/// Weight of a new sample in the moving average of the demand.
-const DEMAND_WEIGHT: f64 = 0.4;
 /// Time after a host's start in which it has not received the demand at all of its peers yet: several
 /// heartbeats.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
@@ -72,35 +52,6 @@
     }
 }
 
-#[derive(Debug, Default)]
-struct OrgBucket {
-    tokens: f64,
-    fair_tokens: f64,
-    refilled_at: BootTime,
-    admitted: u64,
-    reported: u64,
-    // Refunded tokens. The other hosts count them as used, so only this host may use them.
-    refunded: f64,
-    sampled_requests: u32,
-    sample_started_at: BootTime,
-    demand: f64,
-    peer_demand: f64,
-    samples: VecDeque<BucketSample>,
-    // The samples at the time up to which all other hosts have reported, and `DEMAND_LAG` before it; none
-    // before the first one.
-    reported_sample: Option<BucketSample>,
-    earlier_sample: Option<BucketSample>,
-}
-
-/// `BucketSample` is what a host knew of an organisation at some time.
-#[derive(Debug, Clone, Copy)]
-struct BucketSample {
-    at: BootTime,
-    admitted: u64,
-    demand: f64,
-    peer_demand: f64,
-}
-
 /// `FleetLimiter` holds this host's replicas of the token buckets of all organisations.
 #[derive(Debug)]
 pub struct FleetLimiter {
@@ -180,8 +131,8 @@
         let is_settled = self.is_settled(now);
         let is_usage_complete = self.is_usage_complete;
         let bucket = self.bucket_mut(organisation, limit);
-        bucket.count_request(now);
-        let own_share = bucket.own_share(equal_share, is_settled);
+        bucket.demand.count_request(now);
+        let own_share = bucket.history.own_share(equal_share, is_settled);
         bucket.refill(now, limit, live_fraction, own_share, equal_share);
         let low_tokens = limit.burst * LOW_WATERMARK;
         if bucket.refunded >= 1.0 {
@@ -215,7 +166,7 @@
         let is_settled = self.is_settled(now);
         let bucket = self.bucket_mut(organisation, limit);
         bucket.refunded += 1.0;
-        let own_share = bucket.own_share(equal_share, is_settled);
+        let own_share = bucket.history.own_share(equal_share, is_settled);
         bucket.refill(now, limit, live_fraction, own_share, equal_share);
     }
 
@@ -235,7 +186,7 @@
         let is_settled = self.is_settled(now);
         let admitted = u32::try_from(admitted).unwrap_or(u32::MAX);
         let bucket = self.bucket_mut(organisation, limit);
-        let own_share = bucket.own_share(equal_share, is_settled);
+        let own_share = bucket.history.own_share(equal_share, is_settled);
         bucket.refill(now, limit, live_fraction, own_share, equal_share);
         bucket.tokens -= f64::from(admitted);
     }
@@ -255,9 +206,10 @@
         let started_at = self.started_at;
         let peer_demand = self.peer_demands.remove(organisation);
         let bucket = self.buckets.entry(organisation.to_owned());
-        bucket.or_insert_with(|| OrgBucket {
-            peer_demand: peer_demand.unwrap_or_default(),
-            ..OrgBucket::new(started_at, fair_tokens)
+        bucket.or_insert_with(|| {
+            let mut bucket = OrgBucket::new(started_at, fair_tokens);
+            bucket.peer_demand = peer_demand.unwrap_or_default();
+            bucket
         })
     }
 
@@ -278,7 +230,7 @@
             usage.push(OrgUsage {
                 organisation: organisation.clone(),
                 admitted: bucket.admitted,
-                demand: to_f32(bucket.demand),
+                demand: to_f32(bucket.demand.average),
                 recent: Vec::new(),
             });
         }
@@ -294,7 +246,7 @@
             "tokens {:.1}, fair share {:.1}, demand {:.1}/s at this host and {:.1}/s at others, {} of {} hosts heard",
             bucket.tokens,
             bucket.fair_tokens,
-            bucket.demand,
+            bucket.demand.average,
             bucket.peer_demand,
             self.live_count,
             self.host_count,
@@ -330,137 +282,6 @@
     }
 }
 
-impl OrgBucket {
-    fn new(now: BootTime, fair_tokens: f64) -> Self {
-        Self {
-            fair_tokens,
-            refilled_at: now,
-            sample_started_at: now,
-            ..Self::default()
-        }
-    }
-
-    fn refill(
-        &mut self,
-        now: BootTime,
-        limit: &OrgLimit,
-        live_fraction: f64,
-        own_share: f64,
-        equal_share: f64,
-    ) {
-        let elapsed = now.saturating_sub(self.refilled_at);
-        let elapsed = elapsed.min(Duration::from_secs(60)).as_secs_f64();
-        self.refilled_at = now;
-        let rate = limit.rate * live_fraction;
-        self.tokens = (self.tokens + elapsed * rate).min(limit.burst.max(1.0));
-        let max_debt = limit.burst + limit.rate * MAX_DEBT_TIME.as_secs_f64();
-        self.tokens = self.tokens.max(-max_debt);
-        // If the refunded requests had never been counted, the bucket would hold at most its burst. All
-        // hosts together therefore keep no more refunds than what is missing to the burst.
-        let max_refunded = (limit.burst - self.tokens).max(0.0) * own_share;
-        self.refunded = self.refunded.min(max_refunded);
-        // A short drop of the share does not discard tokens saved at an equal share.
-        let max_fair_tokens = max_fair_tokens(limit, own_share.max(equal_share));
-        self.fair_tokens = (self.fair_tokens + elapsed * rate * own_share).min(max_fair_tokens);
-    }
-
-    // Uses a token of the fair share. `draw` is a random number from 0 to 1. If the share is too small to hold a
-    // token, the fraction that it holds is the probability of admission: rounded up to one token at each of
-    // hundreds of hosts, shares would exceed the limit many times.
-    fn use_fair_token(&mut self, limit: &OrgLimit, share: f64, draw: f64) -> bool {
-        if self.fair_tokens >= 1.0 {
-            self.fair_tokens -= 1.0;
-            return true;
-        }
-        if max_fair_tokens(limit, share) >= 1.0 {
-            return false;
-        }
-        let chance = self.fair_tokens;
-        self.fair_tokens = 0.0;
-        draw < chance
-    }
-
-    // Gets the fraction of the rate that this host may use. Its demand counts as of an earlier time than that of
-    // the others, whose reports take as long, if the demand of all has risen since: the shares then add up to less
-    // than one.
-    fn own_share(&self, equal_share: f64, is_settled: bool) -> f64 {
-        let samples = self.reported_sample.zip(self.earlier_sample);
-        let Some((reported, earlier)) = samples.filter(|_| is_settled) else {
-            return equal_share;
-        };
-        if earlier.demand + earlier.peer_demand <= 0.0 {
-            return equal_share;
-        }
-        let has_risen =
-            reported.demand + reported.peer_demand >= earlier.demand + earlier.peer_demand;
-        let demand = if has_risen {
-            earlier.demand
-        } else {
-            reported.demand
-        };
-        let total_demand = demand + reported.peer_demand;
-        if total_demand <= 0.0 {
-            return equal_share;
-        }
-        (demand / total_demand).max(equal_share * MIN_SHARE)
-    }
-
-    // Tells whether the admissions that the other hosts may not know of leave something of this host's `part` of
-    // the tokens above the low watermark, as they were before these admissions.
-    fn may_use_common_tokens(&self, limit: &OrgLimit, part: f64) -> bool {
-        let known = self.reported_sample.map_or(0, |sample| sample.admitted);
-        let unknown = u32::try_from(self.admitted - known).unwrap_or(u32::MAX);
-        let unknown = f64::from(unknown);
-        let min_tokens = if self.tokens >= limit.burst * HIGH_WATERMARK {
-            MIN_COMMON_TOKENS
-        } else {
-            1.0
-        };
-        let common_tokens = self.tokens - limit.burst * LOW_WATERMARK + unknown;
-        unknown + 1.0 <= (common_tokens * part * COMMON_FACTOR).max(min_tokens)
-    }
-
-    fn record_sample(&mut self, now: BootTime, reported_at: BootTime) {
-        self.samples.push_back(BucketSample {
-            at: now,
-            admitted: self.admitted,
-            demand: self.demand,
-            peer_demand: self.peer_demand,
-        });
-        let earlier_at = reported_at.saturating_sub(DEMAND_LAG);
-        while self
-            .samples
-            .get(1)
-            .is_some_and(|next| next.at <= earlier_at)
-        {
-            self.samples.pop_front();
-        }
-        self.earlier_sample = self.samples.front().copied();
-        let mut reported = self.samples.iter().rev();
-        let reported = reported.find(|sample| sample.at <= reported_at);
-        self.reported_sample = reported.copied().or(self.earlier_sample);
-        let known = self.reported_sample.map_or(0, |sample| sample.admitted);
-        let unknown = u32::try_from(self.admitted - known).unwrap_or(u32::MAX);
-        self.fair_tokens = self.fair_tokens.max(-f64::from(unknown));
-    }
-
-    fn count_request(&mut self, now: BootTime) {
-        self.sampled_requests += 1;
-        let elapsed = now.saturating_sub(self.sample_started_at);
-        if elapsed < DEMAND_WINDOW {
-            return;
-        }
-        let sample = f64::from(self.sampled_requests) / elapsed.as_secs_f64();
-        self.demand += (sample - self.demand) * DEMAND_WEIGHT;
-        self.sampled_requests = 0;
-        self.sample_started_at = now;
-    }
-}
-
-fn max_fair_tokens(limit: &OrgLimit, own_share: f64) -> f64 {
-    limit.burst * LOW_WATERMARK * own_share
-}
-
 fn count_to_f64(count: usize) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX))
 }
