net: a connection whose exchange was given up is reset

Cause: an attempt that is given up drops its connection, which hyper and the kernel then close in order. Bytes in the send buffer stay there and are sent again until they arrive. Nothing made the close a reset.

Change: SO_LINGER of zero is set while a connection carries an exchange, and taken back when it has ended in order. Closing it in between, by whatever way, also by the end of the process, is a reset, which drops what was not acknowledged. A connection carries one exchange, so no other request is lost.

A reset that the partition swallows is not sent again: a target that had the whole request then learns later that its caller has left; not measured.

--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -210,6 +210,9 @@
     let is_first = connection.idle_for.is_none();
     let outcome = validate(outcome, &response_metadata, identifier_matches, is_first);
     let reusable = complete && !matches!(outcome, AttemptOutcome::Unknown { .. });
+    if reusable {
+        connection.end_exchange();
+    }
     if reusable && connection.sender.is_ready() {
         let idle_time = response_metadata
             .idle_timeout
@@ -253,6 +256,9 @@
     };
     let outcome = validate_passed(outcome, &metadata, request);
     let reusable = complete && matches!(outcome, AttemptOutcome::Answered(_));
+    if reusable {
+        connection.end_exchange();
+    }
     if reusable && connection.sender.is_ready() {
         pool.put_with_idle_timeout(connection, HOST_IDLE_LIMIT);
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod listener;
 pub mod pipeline;
 pub mod pool;
+mod reset;
 pub mod socket;
 pub mod stream;
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -1,9 +1,12 @@
-//! Connection pools for targets and peers. A connection carries one exchange at a time. It is closed if
-//! its exchange was cancelled or cut off, so that a late response cannot be taken for that of another
-//! request. It carries one identifier once, so that the copy of a response cannot be taken for that of a later
-//! attempt.
-
-use crate::{body::OutboundBody, carried::CarriedRequests, socket::connect, stream::SocketStream};
+//! Connection pools for targets and peers. A connection carries one exchange at a time. It is reset if
+//! its exchange was cancelled or cut off, so that the request is not delivered later, and a late response
+//! cannot be taken for that of another request. It carries one identifier once, so that the copy of a
+//! response cannot be taken for that of a later attempt.
+
+use crate::{
+    body::OutboundBody, carried::CarriedRequests, reset::ExchangeReset, socket::connect,
+    stream::SocketStream,
+};
 use compio::net::TcpStream;
 use fighall_core::{clock::boot_time, ids::BootTime, value};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -73,6 +76,7 @@
 
 struct IdleConnection {
     sender: SendRequest<OutboundBody>,
+    reset: ExchangeReset,
     guard: ConnectionGuard,
     number: u64,
     carried: CarriedRequests,
@@ -124,9 +128,17 @@
     pub carried: CarriedRequests,
     /// Sends requests on the connection.
     pub sender: SendRequest<OutboundBody>,
+    reset: ExchangeReset,
     guard: ConnectionGuard,
 }
 
+impl PooledConnection {
+    /// Ends the exchange in order: the connection is not reset if it is dropped instead of returned to the pool.
+    pub fn end_exchange(&self) {
+        self.reset.disarm();
+    }
+}
+
 impl std::fmt::Debug for PooledConnection {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("PooledConnection")
@@ -209,12 +221,14 @@
             // The connection's task may not yet have processed the end of the last exchange.
             let ready = compio::time::timeout(CONNECT_TIMEOUT, sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
+                idle.reset.arm();
                 return Ok(PooledConnection {
                     address,
                     idle_for,
                     number: idle.number,
                     carried: idle.carried,
                     sender,
+                    reset: idle.reset,
                     guard: idle.guard,
                 });
             }
@@ -224,13 +238,15 @@
         self.opened_count.set(number);
         let opened =
             compio::time::timeout(CONNECT_TIMEOUT, self.open_connection(address, number)).await;
-        let sender = opened.map_err(|_| ConnectError::Timeout { address })??;
+        let (sender, reset) = opened.map_err(|_| ConnectError::Timeout { address })??;
+        reset.arm();
         Ok(PooledConnection {
             address,
             idle_for: None,
             number,
             carried: CarriedRequests::default(),
             sender,
+            reset,
             guard,
         })
     }
@@ -243,6 +259,7 @@
     /// Returns a connection to the pool that must not be reused after it was idle for `idle_timeout`, or
     /// for the pool's own idle time if that is shorter.
     pub fn put_with_idle_timeout(&self, connection: PooledConnection, idle_timeout: Duration) {
+        connection.end_exchange();
         if connection.sender.is_closed() || connection.carried.is_full() {
             return;
         }
@@ -251,6 +268,7 @@
         if pool.idle.len() < MAX_IDLE_PER_ADDRESS {
             pool.idle.push(IdleConnection {
                 sender: connection.sender,
+                reset: connection.reset,
                 guard: connection.guard,
                 number: connection.number,
                 carried: connection.carried,
@@ -317,7 +335,7 @@
         &self,
         address: SocketAddr,
         number: u64,
-    ) -> Result<SendRequest<OutboundBody>, ConnectError> {
+    ) -> Result<(SendRequest<OutboundBody>, ExchangeReset), ConnectError> {
         let refused = |cause: String| ConnectError::Refused {
             address,
             cause,
@@ -331,6 +349,7 @@
         })?;
         set_socket_options(&stream).map_err(|error| refused(error.to_string()))?;
         let stream = SocketStream::new(stream).map_err(|error| refused(error.to_string()))?;
+        let reset = ExchangeReset::new(&stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
             .handshake(stream)
@@ -343,7 +362,7 @@
             }
         };
         compio::runtime::spawn(connection_task).detach();
-        Ok(sender)
+        Ok((sender, reset))
     }
 }
 
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -1,7 +1,11 @@
 //! Adapter from sockets to hyper's I/O traits. It has no buffers of its own: hyper already has some for
 //! each connection, and a host has hundreds of connections.
 
-use compio::{net::TcpStream, runtime::fd::PollFd as SocketFd};
+use compio::{
+    driver::{SharedFd, ToSharedFd},
+    net::TcpStream,
+    runtime::fd::PollFd as SocketFd,
+};
 use futures_util::{AsyncRead, AsyncWrite};
 use hyper::rt::ReadBufCursor;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -33,6 +37,11 @@
         Ok(Self { socket })
     }
 
+    /// Returns a reference to the socket, which stays open until all references are dropped.
+    pub(crate) fn to_shared_socket(&self) -> SharedFd<Socket> {
+        self.socket.to_shared_fd()
+    }
+
     /// Reads the bytes received so far into `bytes` and returns their number, 0 at the end of the
     /// stream.
     pub fn poll_read_bytes(
