--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod framing;
 pub mod headers;
 pub mod listener;
+mod opener;
 pub mod pipeline;
 pub mod pool;
 mod reset;
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -4,18 +4,14 @@
 //! response cannot be taken for that of a later attempt.
 
 use crate::{
-    body::OutboundBody, carried::CarriedRequests, reset::ExchangeReset, socket::connect,
-    stream::SocketStream,
+    body::OutboundBody, carried::CarriedRequests, opener::ConnectionOpener, reset::ExchangeReset,
 };
-use compio::net::TcpStream;
 use fighall_core::{clock::boot_time, ids::BootTime, value};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::SendRequest;
 use snafu::Snafu;
-use socket2::{SockRef, TcpKeepalive};
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
-    io::ErrorKind,
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -27,14 +23,6 @@
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 /// Time after which an idle connection is not reused.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Time after which the operating system closes a connection with unacknowledged data
-/// (`TCP_USER_TIMEOUT`).
-const USER_TIMEOUT: Duration = Duration::from_secs(5);
-/// Largest head of a response, and largest read buffer of a connection, in bytes. A process has thousands of
-/// connections, each of whose remote hosts may send a head without end.
-const MAX_RESPONSE_HEAD_BYTES: usize = 16 * 1_024;
-/// Idle time before the first TCP keep-alive probe.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
 
 /// `ConnectError` is the reason why no connection was available. The request was not sent.
 #[derive(Debug, Snafu)]
@@ -150,16 +138,12 @@
 
 /// `ConnectionPool` holds idle connections by remote address.
 pub struct ConnectionPool {
-    source_address: Option<IpAddr>,
+    opener: ConnectionOpener,
     idle_timeout: Duration,
     addresses: RefCell<BTreeMap<SocketAddr, AddressPool>>,
     opened_count: Cell<u64>,
-    on_surplus: SurplusObserver,
 }
 
-// Gets the address and the number of an idle connection on which bytes arrived.
-type SurplusObserver = Rc<dyn Fn(SocketAddr, u64)>;
-
 impl std::fmt::Debug for ConnectionPool {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("ConnectionPool").finish_non_exhaustive()
@@ -176,18 +160,17 @@
     /// Creates an empty pool; the operating system chooses the source address of connections.
     pub fn new() -> Self {
         Self {
-            source_address: None,
+            opener: ConnectionOpener::default(),
             idle_timeout: IDLE_TIMEOUT,
             addresses: RefCell::new(BTreeMap::new()),
             opened_count: Cell::new(0),
-            on_surplus: Rc::new(|_, _| {}),
         }
     }
 
     /// Sets what is called with the address and the number of a connection that is closed because bytes arrived on
     /// it while no request was sent.
     pub fn with_surplus_observer(mut self, observe: impl Fn(SocketAddr, u64) + 'static) -> Self {
-        self.on_surplus = Rc::new(observe);
+        self.opener.on_surplus = Rc::new(observe);
         self
     }
 
@@ -199,7 +182,7 @@
 
     /// Sets the source address of connections; without one, the operating system chooses it.
     pub fn with_source_address(mut self, source_address: Option<IpAddr>) -> Self {
-        self.source_address = source_address;
+        self.opener.source_address = source_address;
         self
     }
 
@@ -237,7 +220,7 @@
         let number = self.opened_count.get() + 1;
         self.opened_count.set(number);
         let opened =
-            compio::time::timeout(CONNECT_TIMEOUT, self.open_connection(address, number)).await;
+            compio::time::timeout(CONNECT_TIMEOUT, self.opener.open(address, number)).await;
         let (sender, reset) = opened.map_err(|_| ConnectError::Timeout { address })??;
         reset.arm();
         Ok(PooledConnection {
@@ -330,52 +313,4 @@
         }
         Ok(ConnectionGuard::new(&pool.open_count))
     }
-
-    async fn open_connection(
-        &self,
-        address: SocketAddr,
-        number: u64,
-    ) -> Result<(SendRequest<OutboundBody>, ExchangeReset), ConnectError> {
-        let refused = |cause: String| ConnectError::Refused {
-            address,
-            cause,
-            port_closed: false,
-        };
-        let stream = connect(address, self.source_address).await;
-        let stream = stream.map_err(|error| ConnectError::Refused {
-            address,
-            cause: error.to_string(),
-            port_closed: error.kind() == ErrorKind::ConnectionRefused,
-        })?;
-        set_socket_options(&stream).map_err(|error| refused(error.to_string()))?;
-        let stream = SocketStream::new(stream).map_err(|error| refused(error.to_string()))?;
-        let reset = ExchangeReset::new(&stream);
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
-            .handshake(stream)
-            .await
-            .map_err(|error| refused(error.to_string()))?;
-        let observe = Rc::clone(&self.on_surplus);
-        let connection_task = async move {
-            if connection.await.is_err_and(|error| is_surplus(&error)) {
-                observe(address, number);
-            }
-        };
-        compio::runtime::spawn(connection_task).detach();
-        Ok((sender, reset))
-    }
-}
-
-// Tells whether a connection ended because bytes arrived on it while no request was sent. Errors of the socket have a
-// source; those of an exchange are returned to the exchange by the sender.
-fn is_surplus(error: &hyper::Error) -> bool {
-    let ended = error.is_closed() || error.is_canceled() || error.is_incomplete_message();
-    !ended && std::error::Error::source(error).is_none()
-}
-
-fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
-    let descriptor = stream.to_poll_fd()?;
-    let socket = SockRef::from(&descriptor);
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(KEEPALIVE_IDLE))
 }
