gateway: a share of a target's limit grows only into what nobody claims

Callers saw: nothing reported. Cause: fair_fraction divides by the others' last reported demand and left out the fractions that they claim. Change: a fraction moves at most by its fair part of what the last claims of all leave. It grows in 1 s instead of 2 s, to make up for that when callers move. Messages are unchanged.

--- a/crates/gateway/src/router/limits.rs
+++ b/crates/gateway/src/router/limits.rs
@@ -9,7 +9,9 @@
     ration::WarmupLimit,
     roster::RosterRecord,
     target_limit::{LimitChange, LimitReport},
-    target_share::{HolderClaims, TargetShare, equal_fraction, fair_fraction, initial_demand},
+    target_share::{
+        HolderClaims, TargetShare, equal_fraction, fair_fraction, initial_demand, next_fraction,
+    },
 };
 use fighall_core::ids::{BootTime, HostId, TargetId};
 use std::{collections::BTreeSet, time::Duration};
@@ -84,7 +86,7 @@
             };
             let share = &mut record.limiter.share;
             if is_holder {
-                let wanted = fair_fraction(share.demand(now), &claims);
+                let wanted = next_fraction(share.fraction(), share.demand(now), &claims);
                 share.move_fraction(now, limited.rate, wanted, holders.len());
                 continue;
             }
--- a/crates/gateway/src/target_share.rs
+++ b/crates/gateway/src/target_share.rs
@@ -3,7 +3,8 @@
 //! A few hosts hold a limit, chosen by rendezvous hashing. Each takes the fraction of it that its demand
 //! has in the demand of all holders, as heartbeats and digests report it. The share of a holder that is
 //! not live stays reserved for it, since it may still be sending. A fraction grows slower than reports
-//! travel and falls faster, so that the fractions of all hosts add up to about one while they change.
+//! travel, and only into what nobody claims, and falls faster, so that the fractions of all hosts add up to
+//! about one while they change, also while reports are missing.
 
 use fighall_core::{ids::BootTime, value};
 use std::time::Duration;
@@ -20,7 +21,7 @@
 /// of a partition apply it, so it is below what targets tolerate.
 const RESERVED_FACTOR: f64 = 1.1;
 /// Time constants of a growing and of a falling fraction.
-const GROWTH_TIME: Duration = Duration::from_millis(2_000);
+const GROWTH_TIME: Duration = Duration::from_millis(1_000);
 const FALL_TIME: Duration = Duration::from_millis(400);
 /// Requests that each holder is taken to have wanted at the start, so that the very first ones do not
 /// decide the fractions.
@@ -86,8 +87,20 @@
     } else {
         equal
     };
-    let available = ((1.0 - claims.reserved).max(0.0) * RESERVED_FACTOR).min(1.0);
-    available * (EQUAL_FRACTION * equal + (1.0 - EQUAL_FRACTION) * wanted)
+    available_fraction(claims) * (EQUAL_FRACTION * equal + (1.0 - EQUAL_FRACTION) * wanted)
+}
+
+/// Gets the fraction towards which the fraction of a holder with `demand` moves. It grows only into the holder's part
+/// of what nobody claims: demand that rises on both sides of a partition would otherwise let both sides grow.
+pub fn next_fraction(fraction: f64, demand: f64, claims: &HolderClaims) -> f64 {
+    let fair = fair_fraction(demand, claims);
+    let claimed = (claims.fraction - claims.reserved).max(0.0);
+    let unclaimed = (available_fraction(claims) - claimed - fraction).max(0.0);
+    fair.min(fraction + unclaimed * fair)
+}
+
+fn available_fraction(claims: &HolderClaims) -> f64 {
+    ((1.0 - claims.reserved).max(0.0) * RESERVED_FACTOR).min(1.0)
 }
 
 /// Gets the demand that a holder is taken to have at first, in requests per second.
--- a/crates/gateway/tests/limit_fleet/mod.rs
+++ b/crates/gateway/tests/limit_fleet/mod.rs
@@ -1,6 +1,8 @@
 //! A fleet of routers in virtual time, with targets that name limits. Heartbeats, digests, responses and
 //! callers are simulated; all decisions are those of the routers.
 
+pub(crate) mod cut;
+
 use arbtest::arbitrary;
 use fighall_gateway::{
     decision::{OwnHost, PlacementQuery, SentRequest},
@@ -81,6 +83,8 @@
     pub(crate) warmup_rate: Option<f64>,
     /// Percentage of messages between hosts that are lost.
     pub(crate) loss: u32,
+    /// Group whose messages reach the other groups, although theirs do not reach it.
+    one_way_group: Option<usize>,
     regions: usize,
     steps: u64,
     requests: u64,
@@ -141,6 +145,7 @@
             local: false,
             warmup_rate: None,
             loss: 0,
+            one_way_group: None,
             regions,
             steps: 0,
             requests: 0,
@@ -397,7 +402,9 @@
 
     fn post(&mut self, from: usize, to: usize, delay: Duration, event: Event) {
         let lost = self.rng.u32(0..100) < self.loss;
-        if !lost && self.hosts[from].group == self.hosts[to].group {
+        let group = self.hosts[from].group;
+        let is_passed = group == self.hosts[to].group || self.one_way_group == Some(group);
+        if !lost && is_passed {
             self.push(delay, event);
         }
     }
@@ -598,7 +605,15 @@
 
 /// Plays `case` with many seeds, always the same ones. `FIGHALL_CASES=FROM..TO` names others.
 pub(crate) fn play_cases(case: impl Fn(&mut arbitrary::Unstructured<'_>) -> arbitrary::Result<()>) {
-    let range = std::env::var("FIGHALL_CASES").unwrap_or_else(|_| "0..200".to_owned());
+    play_some_cases(200, case);
+}
+
+/// Plays `case` with `count` seeds, if no others are named.
+pub(crate) fn play_some_cases(
+    count: u64,
+    case: impl Fn(&mut arbitrary::Unstructured<'_>) -> arbitrary::Result<()>,
+) {
+    let range = std::env::var("FIGHALL_CASES").unwrap_or_else(|_| format!("0..{count}"));
     let (first, end) = range.split_once("..").expect("a range");
     let bound = |text: &str| text.parse::<u64>().expect("a number");
     for seed in bound(first)..bound(end) {
--- a/crates/gateway/tests/target_shares.rs
+++ b/crates/gateway/tests/target_shares.rs
@@ -5,7 +5,12 @@
 
 mod limit_fleet;
 
-use limit_fleet::{LimitFleet, draw, play_cases};
+use arbtest::arbitrary;
+use limit_fleet::{
+    LimitFleet,
+    cut::{CUTS, FleetCut},
+    draw, play_cases, play_some_cases,
+};
 use std::time::Duration;
 
 fn seconds(count: u64) -> Duration {
@@ -175,3 +180,108 @@
         Ok(())
     });
 }
+
+fn milliseconds(
+    source: &mut arbitrary::Unstructured<'_>,
+    first: u64,
+    last: u64,
+) -> arbitrary::Result<Duration> {
+    Ok(Duration::from_millis(source.int_in_range(first..=last)?))
+}
+
+// Raises the demand of all hosts, or of those on one side of the cut, before or after it begins.
+fn play_rise_around_a_cut(
+    source: &mut arbitrary::Unstructured<'_>,
+    fleet: &mut LimitFleet,
+    zones: usize,
+) -> arbitrary::Result<()> {
+    let cut = draw(source, &CUTS)?;
+    let factor = draw(source, &[2.0, 4.0, 8.0])?;
+    let rising = draw(source, &[None, Some(0), Some(1)])?;
+    let lead = milliseconds(source, 0, 1_200)?;
+    let rises_first: bool = source.arbitrary()?;
+    if !rises_first {
+        fleet.begin_cut(zones, cut);
+        fleet.run(lead);
+    }
+    let count = fleet.hosts.len();
+    for (number, host) in fleet.hosts.iter_mut().enumerate() {
+        let group = cut.group(number, count, zones);
+        if rising.is_none_or(|rising| rising == group) {
+            host.demand *= factor;
+        }
+    }
+    if rises_first {
+        fleet.run(lead);
+        fleet.begin_cut(zones, cut);
+    }
+    if source.arbitrary()? {
+        fleet.join();
+    }
+    fleet.run(milliseconds(source, 2_000, 8_000)?);
+    fleet.end_cut();
+    fleet.run(seconds(3));
+    Ok(())
+}
+
+// Plays a target that names a limit before or during the cut.
+fn play_limit_across_a_cut(
+    source: &mut arbitrary::Unstructured<'_>,
+    zones: usize,
+    hosts: usize,
+) -> arbitrary::Result<()> {
+    let limit = draw(source, &[0.4, 1.0, 3.0, 8.5, 20.0, 60.0])?;
+    let demand = draw(source, &[10.0, 60.0, 200.0])?;
+    let mut fleet = LimitFleet::new(zones, hosts, 4, demand, source.arbitrary()?);
+    fleet.local = source.arbitrary()?;
+    fleet.settle();
+    let mut named_at = fleet.now;
+    if source.arbitrary()? {
+        fleet.targets[0].limit = Some(limit);
+        fleet.run(milliseconds(source, 200, 4_000)?);
+    } else {
+        // The limit is named by responses to the hosts of both sides.
+        fleet.begin_cut(zones, FleetCut::Zone);
+        fleet.run(milliseconds(source, 0, 5_000)?);
+        named_at = fleet.now;
+        fleet.targets[0].limit = Some(limit);
+    }
+    play_rise_around_a_cut(source, &mut fleet, zones)?;
+    fleet.check(0, limit, named_at);
+    Ok(())
+}
+
+#[test]
+fn limit_holds_while_the_fleet_is_cut_as_demand_rises_at_9_hosts() {
+    play_cases(|source| play_limit_across_a_cut(source, 3, 9));
+}
+
+#[test]
+fn limit_holds_while_the_fleet_is_cut_as_demand_rises_at_80_hosts() {
+    play_some_cases(40, |source| play_limit_across_a_cut(source, 9, 80));
+}
+
+// Regression: shares of both sides of a cut grew with their own demand and added up to twice the limit.
+#[test]
+fn limit_holds_while_half_of_the_hosts_are_cut_off_as_demand_rises_eightfold() {
+    for (zones, hosts) in [(3, 9), (9, 27)] {
+        for limit in [60.0, 150.0, 400.0] {
+            for lead_ms in [0, 300, 600, 1_000] {
+                let mut fleet = LimitFleet::new(zones, hosts, 4, limit * 2.0, lead_ms);
+                fleet.settle();
+                let named_at = fleet.now;
+                fleet.targets[0].limit = Some(limit);
+                fleet.run(seconds(4));
+                for host in &mut fleet.hosts {
+                    host.demand *= 8.0;
+                }
+                fleet.run(Duration::from_millis(lead_ms));
+                fleet.begin_cut(zones, FleetCut::Hosts);
+                fleet.run(seconds(5));
+                fleet.end_cut();
+                fleet.run(seconds(2));
+                fleet.check(0, limit, named_at);
+            }
+        }
+    }
+}
