gateway: tests that rates of cold targets and retry budgets hold across cuts

Change: targets that warm up in the simulated fleet are played across a cut of a zone, of half of the hosts and of one direction as demand rises by 2 to 8 on all or on one side, at 9 and 80 hosts; retry budgets with some hosts cut off from the store's list of hosts for 2 to 25 s while others start, stop and leave and callers move. No change of the product.

--- a/crates/gateway/tests/retry_budgets.rs
+++ b/crates/gateway/tests/retry_budgets.rs
@@ -47,6 +47,9 @@
     callers_use: std::ops::Range<usize>,
     // Fraction of the requests of which all attempts fail.
     failing: f64,
+    // Hosts that a cut keeps from changes of the registered hosts, by number, and the time at which it ends.
+    cut_off: std::ops::Range<usize>,
+    cut_until: Duration,
     // Times until which the network holds up requests to hosts and retries to targets.
     requests_held_until: Duration,
     retries_held_until: Duration,
@@ -111,6 +114,8 @@
             due_requests: 0.0,
             callers_use: 0..count,
             failing: 1.0,
+            cut_off: 0..0,
+            cut_until: Duration::ZERO,
             requests_held_until: Duration::ZERO,
             retries_held_until: Duration::ZERO,
             requests: Vec::new(),
@@ -122,9 +127,13 @@
     fn announce(&mut self, number: usize, event: impl Fn(usize) -> Event) {
         for other in (0..self.hosts.len()).filter(|other| *other != number) {
             let delay = Duration::from_millis(self.rng.u64(..MAX_STORE_DELAY_MS));
+            let mut read_at = self.now + delay;
+            if self.cut_off.contains(&other) {
+                read_at = read_at.max(self.cut_until);
+            }
             self.event_count += 1;
             self.events
-                .insert((self.now + delay, self.event_count), event(other));
+                .insert((read_at, self.event_count), event(other));
         }
     }
 
@@ -412,6 +421,54 @@
     assert_eq!(fleet.excess(), None);
 }
 
+// Plays a cut of some hosts from the store while others start, stop and leave, and traffic rises and moves.
+fn play_cut_from_the_store(seed: u64, hosts: usize) -> Option<String> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut fleet = RetryFleet::new(hosts, seed);
+    let rate = f64::from(rng.u32(20..200));
+    let first_running = rng.usize(1..=hosts);
+    for number in first_running..hosts {
+        fleet.leave(number);
+    }
+    fleet.failing = [0.0, 0.3, 1.0][rng.usize(..3)];
+    fleet.run(rate, Duration::from_secs(14));
+    let cut_first = rng.usize(..hosts);
+    fleet.cut_off = cut_first..rng.usize(cut_first..hosts) + 1;
+    fleet.cut_until = fleet.now + Duration::from_millis(rng.u64(2_000..25_000));
+    let factor = [2.0, 4.0, 8.0][rng.usize(..3)];
+    fleet.failing = 1.0;
+    while fleet.now < fleet.cut_until {
+        let first = rng.usize(..hosts);
+        let affected = first..rng.usize(first..hosts) + 1;
+        match rng.u32(..5) {
+            0 => affected.for_each(|number| fleet.kill(number)),
+            1 => affected.for_each(|number| fleet.leave(number)),
+            2 => fleet.callers_use = affected,
+            _ => affected.for_each(|number| fleet.start(number)),
+        }
+        fleet.run(rate * factor, Duration::from_millis(rng.u64(200..4_000)));
+    }
+    fleet.run(rate * factor, Duration::from_secs(12));
+    let excess = fleet.excess();
+    excess.map(|text| format!("seed {seed}, {hosts} hosts: {text}"))
+}
+
+#[test]
+fn retry_budget_holds_while_hosts_are_cut_from_the_store_at_9_hosts() {
+    let findings: Vec<_> = (0..150)
+        .filter_map(|seed| play_cut_from_the_store(seed, 9))
+        .collect();
+    assert!(findings.is_empty(), "{findings:#?}");
+}
+
+#[test]
+fn retry_budget_holds_while_hosts_are_cut_from_the_store_at_80_hosts() {
+    let findings: Vec<_> = (0..60)
+        .filter_map(|seed| play_cut_from_the_store(seed, 80))
+        .collect();
+    assert!(findings.is_empty(), "{findings:#?}");
+}
+
 #[test]
 fn retry_budget_holds_for_what_targets_receive() {
     let mut findings = Vec::new();
--- a/crates/gateway/tests/target_shares.rs
+++ b/crates/gateway/tests/target_shares.rs
@@ -285,3 +285,38 @@
         }
     }
 }
+
+// Plays a target that starts to warm up before or during the cut.
+fn play_warmup_across_a_cut(
+    source: &mut arbitrary::Unstructured<'_>,
+    zones: usize,
+    hosts: usize,
+) -> arbitrary::Result<()> {
+    let rate = draw(source, &[1.0, 4.0, 11.0, 30.0])?;
+    let mut fleet = LimitFleet::new(zones, hosts, 3, 300.0, source.arbitrary()?);
+    fleet.settle();
+    if source.arbitrary()? {
+        fleet.begin_cut(zones, FleetCut::Hosts);
+        fleet.run(milliseconds(source, 0, 5_000)?);
+    }
+    fleet.targets[0].arrivals.clear();
+    fleet.start_warmup(rate);
+    play_rise_around_a_cut(source, &mut fleet, zones)?;
+    let most = fleet.most_in_a_second(0);
+    let allowed = rate * 1.5 + 5.0;
+    assert!(
+        most as f64 <= allowed,
+        "{most} requests in a second, allowed {allowed}"
+    );
+    Ok(())
+}
+
+#[test]
+fn warmup_limit_holds_while_the_fleet_is_cut_as_demand_rises_at_9_hosts() {
+    play_cases(|source| play_warmup_across_a_cut(source, 3, 9));
+}
+
+#[test]
+fn warmup_limit_holds_while_the_fleet_is_cut_as_demand_rises_at_80_hosts() {
+    play_some_cases(40, |source| play_warmup_across_a_cut(source, 9, 80));
+}
