gateway: the report of an attempt has a module of its own

No behaviour changes: ConnectionUse and AttemptReport move to attempt_report.rs, the log and the counters of an attempt to a function.

--- a/crates/core/tests/log.rs
+++ b/crates/core/tests/log.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-// Collects lines, each of which takes a while to write.
+// Collects lines, with a delay for each.
 #[derive(Clone, Default)]
 struct SlowOutput(Arc<Mutex<Vec<u8>>>);
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 pub mod admissions;
+pub mod attempt_report;
 pub mod behind;
 pub mod copies;
 pub mod crash;
--- a/crates/gateway/src/placement_log.rs
+++ b/crates/gateway/src/placement_log.rs
@@ -1,11 +1,12 @@
 //! Log records of attempts at targets and of the limits that targets name.
 
 use crate::{
+    attempt_report::{AttemptReport, ConnectionUse},
     crash::RequestDigest,
     decision::TargetPlacement,
     request::RequestTrace,
     router::{limits::LimitChanges, outcomes::TargetNotice},
-    sender::{AttemptOutcome, AttemptReport, ConnectionUse},
+    sender::AttemptOutcome,
     target_limit::LimitChange,
 };
 use fighall_core::log::RETAINED;
@@ -106,8 +107,7 @@
     }
 }
 
-/// Logs why a request that may run once, and is answered with a status that promises that it did not run, is known not
-/// to have run.
+/// Logs the attempts of a request that may run once and is answered with a status that promises that it did not run.
 pub(crate) fn log_refusal(
     logger: &Logger,
     request: &str,
--- a/crates/gateway/src/proxy/attempts.rs
+++ b/crates/gateway/src/proxy/attempts.rs
@@ -2,6 +2,7 @@
 
 use super::CallerProxy;
 use crate::{
+    attempt_report::AttemptReport,
     decision::{PlacementQuery, SentRequest, TargetPlacement},
     dialect::{ResponseMetadata, TargetMetadata},
     placement_log::{
@@ -10,7 +11,7 @@
     policy::ServicePolicy,
     request::{AdmittedRequest, RequestTrace},
     router::RequestRouter,
-    sender::{self, AttemptOptions, AttemptOutcome, AttemptReport},
+    sender::{self, AttemptOptions, AttemptOutcome},
 };
 use fighall_core::{clock::boot_time, ids::BootTime};
 use slog::info;
@@ -71,25 +72,28 @@
         {
             self.record_stale_connection(now, &request.prepared.id, *idle_for);
         }
-        let label = log_attempt(
-            &self.logger,
-            &request.prepared.id,
-            placement,
-            &report,
-            elapsed,
-            ejected,
-        );
+        self.log_and_count(request, placement, &report, elapsed, ejected);
+        trace.attempts.push(describe_attempt(placement, &report));
+        report.outcome
+    }
+
+    fn log_and_count(
+        &self,
+        request: &AdmittedRequest,
+        placement: &TargetPlacement,
+        report: &AttemptReport,
+        elapsed: Duration,
+        ejected: bool,
+    ) {
+        let id = &request.prepared.id;
+        let label = log_attempt(&self.logger, id, placement, report, elapsed, ejected);
         self.metrics
             .count_attempt(&request.service.name, label, elapsed);
-        if report.is_surplus(&request.prepared.id) {
+        if report.is_surplus(id) {
             let labels = ["exchange"];
-            self.metrics
-                .surplus_responses
-                .with_label_values(&labels)
-                .inc();
+            let surplus = self.metrics.surplus_responses.with_label_values(&labels);
+            surplus.inc();
         }
-        trace.attempts.push(describe_attempt(placement, &report));
-        report.outcome
     }
 
     // Records what the outcome shows about requests that crash targets.
