gateway: a forwarded list makes no host call the store again and again

Cause: removals were forwarded at the version of the list, which raised the latest version of the hosts that received them above that of hosts that had listed, or had received the change itself; those then counted as behind, and queried the store at each check. The message continued at a version of other kinds' changes, so that receivers noticed a gap that was none. And a later message continued below the list, so that a lost list was not noticed. Change: a removal bears the first version at which it can have happened, and the host that lists records it; the message continues at the latest change of the kind, and later ones at the list.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -98,6 +98,8 @@
     // Latest store version that a store watcher has forwarded changes up to; if it is above
     // `complete_version`, this host has missed some.
     forwarded_version: Cell<Version>,
+    // Version of the latest list that was forwarded: later messages continue at it.
+    forwarded_list_version: Cell<Version>,
     // Whether the watch has to start again with a list.
     needs_list: Cell<bool>,
     // Whether the watch has to call the store now, even if a store watcher is live.
@@ -298,7 +300,8 @@
         match step {
             WatchStep::Listed { list, sent_at } => {
                 self.note_store_version(list.version);
-                let previous = state.complete_version.replace(list.version);
+                let previous = self.forwarded_up_to(kind, state);
+                state.complete_version.set(list.version);
                 state.forwarded_version.set(list.version);
                 let names: BTreeSet<_> = list
                     .objects
@@ -308,8 +311,8 @@
                 for object in &list.objects {
                     self.copies.apply_object(kind, now, object);
                 }
-                let missing = self.copies.retain_listed(kind, now, list.version, names);
-                self.queue_list(kind, previous, &list, missing);
+                let removals = self.copies.retain_listed(kind, now, list.version, names);
+                self.queue_list(kind, previous, &list, removals);
                 self.confirm(kind, state, sent_at.unwrap_or_default());
             }
             WatchStep::Changed {
--- a/crates/gateway/src/follow/forwarding.rs
+++ b/crates/gateway/src/follow/forwarding.rs
@@ -132,15 +132,15 @@
         changes: &[ObjectChange],
     ) {
         let first_version = changes.iter().map(|change| change.version).min();
-        let is_listed = self
-            .kinds
-            .get(&kind)
-            .is_some_and(|state| state.listed.get());
-        let Some(first_version) = first_version.filter(|_| is_listed) else {
+        let state = self.kinds.get(&kind);
+        let Some(state) = state.filter(|state| state.listed.get()) else {
+            return;
+        };
+        let Some(first_version) = first_version else {
             return;
         };
         // The other store watcher may already have forwarded some of these changes.
-        let latest = self.copies.latest(kind);
+        let latest = self.latest_forwarded(kind, state);
         let previous = latest.min(first_version.saturating_sub(1));
         let messages = split_changes(kind, previous, version, changes);
         self.outbox.borrow_mut().extend(messages);
@@ -148,21 +148,35 @@
 }
 
 impl StoreFollower {
-    // Queues what a later list than the first shows: objects of versions after `previous`, and those that are gone. The
-    // history with the changes is no longer available to other hosts either.
+    fn latest_forwarded(&self, kind: FollowedKind, state: &KindState) -> Version {
+        let latest = self.copies.latest(kind);
+        latest.max(state.forwarded_list_version.get())
+    }
+
+    // Gets the version at which a message with all that follows continues. Versions after the latest change are those of
+    // other kinds, which hosts that receive messages do not count.
+    pub(super) fn forwarded_up_to(&self, kind: FollowedKind, state: &KindState) -> Version {
+        self.latest_forwarded(kind, state)
+            .min(state.complete_version.get())
+    }
+
+    // Queues what a later list than the first shows: objects of versions after `previous`, and `removals`. The history
+    // with the changes is no longer available to other hosts either.
     pub(super) fn queue_list(
         &self,
         kind: FollowedKind,
         previous: Version,
         list: &ObjectList,
-        missing: Vec<String>,
+        removals: Vec<ObjectChange>,
     ) {
-        let state = self.kinds.get(&kind);
-        let is_listed = state.is_some_and(|state| state.listed.get());
-        if !is_listed || era_of(previous) != era_of(list.version) || list.version <= previous {
+        let Some(state) = self.kinds.get(&kind) else {
+            return;
+        };
+        let continues = era_of(previous) == era_of(list.version) && list.version > previous;
+        if !state.listed.get() || !continues {
             return;
         }
-        let mut changes = Vec::new();
+        let mut changes = removals;
         for object in &list.objects {
             if object.version > previous {
                 changes.push(ObjectChange {
@@ -172,18 +186,13 @@
                 });
             }
         }
-        changes.sort_by_key(|change| change.version);
-        for name in missing {
-            changes.push(ObjectChange {
-                name,
-                version: list.version,
-                value: None,
-            });
-        }
-        if !changes.is_empty() {
-            let messages = split_changes(kind, previous, list.version, &changes);
-            self.outbox.borrow_mut().extend(messages);
+        if changes.is_empty() {
+            return;
         }
+        changes.sort_by_key(|change| change.version);
+        state.forwarded_list_version.set(list.version);
+        let messages = split_changes(kind, previous, list.version, &changes);
+        self.outbox.borrow_mut().extend(messages);
     }
 }
 
--- a/crates/gateway/tests/region.rs
+++ b/crates/gateway/tests/region.rs
@@ -9,6 +9,8 @@
 use support::{KEY, TestFleet, put_target, send, settings, start_gateway};
 
 const FORWARDING_TIME: Duration = Duration::from_secs(1);
+/// Time within which a copy of each kind is confirmed after a change of another kind.
+const CONFIRMATION_BOUND: Duration = Duration::from_secs(6);
 /// Time after which a target that is gone gets no requests.
 const DRAIN_BOUND: Duration = Duration::from_millis(2_500);
 
@@ -217,5 +219,11 @@
             assert_eq!(statuses(&hosts, &path, &mark).await, [200; 5]);
         }
         assert_eq!(runs() - before, 0, "requests at the removed target");
+        // Until then each kind is watched again once, since the store has changed.
+        compio::time::sleep(CONFIRMATION_BOUND).await;
+        let calls_before = calls_of(&fleet.store);
+        compio::time::sleep(Duration::from_secs(3)).await;
+        let idle_calls = calls_of(&fleet.store) - calls_before;
+        assert!(idle_calls <= 8, "{idle_calls} calls within 3 s afterwards");
     });
 }
