test: a caller reads the response after the stop that waited for it

The stop ends as the last connection does, and the caller's task, on the same thread, is polled after the assertion.

The test was wrong: it read the status at the moment at which the stop ended.

--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -11,6 +11,9 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 use support::{KEY, RETRIES_AT_START, TestFleet, list_target, send};
 
+/// Time within which a caller has read a response that was sent.
+const READ_TIME: Duration = Duration::from_millis(100);
+
 fn run(test: impl Future<Output = ()>) {
     let runtime = compio::runtime::Runtime::new().expect("a runtime");
     runtime.block_on(test);
@@ -260,8 +263,11 @@
             task_status.set(response.expect("a response").status);
         });
         stop.await.expect("a finished shutdown");
-        assert_eq!(status.get(), 200, "stopped with a request in flight");
-        task.await.expect("a request");
+        let answered = fleet.targets[0].with_record(|record| record.answered);
+        assert_eq!(answered, 1, "stopped with a request in flight");
+        let response = compio::time::timeout(READ_TIME, task).await;
+        response.expect("a response by then").expect("a request");
+        assert_eq!(status.get(), 200);
     });
 }
 
