--- a/crates/gateway/tests/given_back.rs
+++ b/crates/gateway/tests/given_back.rs
@@ -195,8 +195,8 @@
         }
         for label in ["answered", "rejected", "not sent", "unknown"] {
             assert!(
-                counts.contains_key(label),
-                "no attempt was {label}: {counts:?}"
+                counts.get(label).is_some_and(|count| *count >= 5),
+                "{counts:?}"
             );
         }
     });
