store: names are percent-encoded in the request targets of calls

What callers saw: nothing was served after a restart of all hosts while an entry of another writer, such as `i-c&d`, ended a page of the list of targets: no host became ready. Cause: names went into paths and queries as they were. `&` and `#` end the value of the cursor, `+` becomes a blank, `%` an invalid escape (400), and the address parser strips a blank at the end. The store got another name and returned the same page again, without end, or refused the call. Change: RequestTarget builds path and query of every call, of the platform's objects and of our own dialect, and encodes all but unreserved characters with the percent-encoding library. A blank is `%20`, which decoders of forms and of plain addresses read alike.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod mirror;
 pub mod object;
 pub mod stats;
+pub mod target;
 pub mod watch;
--- a/crates/store/src/mapping.rs
+++ b/crates/store/src/mapping.rs
@@ -9,13 +9,14 @@
 //! | put | `PUT /v1/KIND/NAME`, `If-Match: VERSION` | 200 with the version, 412 |
 //! | delete | `DELETE /v1/KIND/NAME`, `If-Match: VERSION` | 200 with the version, 412, 404 |
 //!
-//! Versions on the wire are revisions within the store's era, which responses carry in the header
+//! Names are percent-encoded. Versions on the wire are revisions within the store's era, which responses carry in the header
 //! `Fighall-Store-Era`.
 
 use crate::{
     era::{StoreEra, revision_of},
     errors::{Error, Result},
     object::{ChangeBatch, ObjectList, StoreObject, WriteResponse},
+    target::RequestTarget,
 };
 use fighall_core::{ids::Version, value};
 use http::{HeaderMap, Method};
@@ -191,20 +192,16 @@
     /// Builds the HTTP request of the call.
     pub fn parts(&self) -> RequestParts {
         match self {
-            Self::Get { kind, name } => {
-                RequestParts::new(Method::GET, format!("/v1/{kind}/{name}"))
+            Self::Get { kind, name } => RequestParts::new(Method::GET, object_target(kind, name)),
+            Self::List { kind, .. } => RequestParts::new(Method::GET, kind_target(kind)),
+            Self::Watch { kind, after, wait } => {
+                let target = kind_target(kind)
+                    .with_parameter("after", &revision_of(*after).to_string())
+                    .with_parameter("wait_ms", &wait.as_millis().to_string());
+                RequestParts::new(Method::GET, target)
             }
-            Self::List { kind, .. } => RequestParts::new(Method::GET, format!("/v1/{kind}")),
-            Self::Watch { kind, after, wait } => RequestParts::new(
-                Method::GET,
-                format!(
-                    "/v1/{kind}?after={}&wait_ms={}",
-                    revision_of(*after),
-                    wait.as_millis()
-                ),
-            ),
             Self::Create { kind, name, value } => {
-                RequestParts::new(Method::PUT, format!("/v1/{kind}/{name}"))
+                RequestParts::new(Method::PUT, object_target(kind, name))
                     .with_precondition("if-none-match", "*")
                     .with_body(value)
             }
@@ -213,25 +210,33 @@
                 name,
                 value,
                 expected,
-            } => RequestParts::new(Method::PUT, format!("/v1/{kind}/{name}"))
+            } => RequestParts::new(Method::PUT, object_target(kind, name))
                 .with_precondition("if-match", &revision_of(*expected).to_string())
                 .with_body(value),
             Self::Delete {
                 kind,
                 name,
                 expected,
-            } => RequestParts::new(Method::DELETE, format!("/v1/{kind}/{name}"))
+            } => RequestParts::new(Method::DELETE, object_target(kind, name))
                 .with_precondition("if-match", &revision_of(*expected).to_string()),
         }
     }
 }
 
+fn kind_target(kind: &str) -> RequestTarget {
+    RequestTarget::new("/v1").with_segment(kind)
+}
+
+fn object_target(kind: &str, name: &str) -> RequestTarget {
+    kind_target(kind).with_segment(name)
+}
+
 impl RequestParts {
     /// Creates a request without precondition and body.
-    pub fn new(method: Method, path_and_query: String) -> Self {
+    pub fn new(method: Method, target: RequestTarget) -> Self {
         Self {
             method,
-            path_and_query,
+            path_and_query: target.into_text(),
             precondition: None,
             body: String::new(),
         }
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -16,6 +16,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use std::{
     cell::{Cell, RefCell},
@@ -179,15 +180,18 @@
             return Ok(empty(StatusCode::NOT_FOUND));
         };
         let (kind, name) = rest.split_once('/').unwrap_or((rest, ""));
+        let Ok(name) = percent_decode_str(name).decode_utf8() else {
+            return Ok(empty(StatusCode::BAD_REQUEST));
+        };
         match (request.method().clone(), name.is_empty()) {
             (Method::GET, true) => self.list_or_watch(kind, &request, &faults).await,
-            (Method::GET, false) => Ok(self.read(kind, name, &faults)),
+            (Method::GET, false) => Ok(self.read(kind, &name, &faults)),
             (Method::PUT, false) => {
-                let answer = self.put(kind, name, request).await?;
+                let answer = self.put(kind, &name, request).await?;
                 self.answer_write(answer, &faults)
             }
             (Method::DELETE, false) => {
-                let answer = self.delete(kind, name, &request);
+                let answer = self.delete(kind, &name, &request);
                 self.answer_write(answer, &faults)
             }
             _ => Ok(empty(StatusCode::METHOD_NOT_ALLOWED)),
