store: a list ends by itself, and what was read of it serves

What callers saw: nothing was served after a restart while the store did not take the cursor of a list, or returned the same page for it again. Cause: the client took every page with `HasMore` for progress and called again without end, its objects piling up; a refused page discarded those read before it. list_with_timeout took the first page for the whole list. Change: a page that adds no name at its end, or that the store refuses (4xx) or returns in a form that cannot be decoded, ends the list, which is then marked as truncated and has a finding. Objects that a truncated list lacks are kept, a policy that it lacks is not confirmed, and the host lists again after the next watch call, without relying on store watchers. Findings are logged as `store entries skipped`. Time-outs and 5xx fail the whole list as before: they pass. Conclusion: names of a kind are finite, so that a list of pages that each add one ends.

--- a/crates/entry/src/mirrors.rs
+++ b/crates/entry/src/mirrors.rs
@@ -280,7 +280,9 @@
                     None => return,
                 };
                 self.take_news(kind, &news);
-                if let Some(sent_at) = sent_at {
+                if let Some(sent_at) = sent_at
+                    && !list.truncated
+                {
                     self.confirm(kind, list.version, sent_at);
                 }
             }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -34,7 +34,7 @@
     watch::{KindWatch, WatchStep},
 };
 use futures_util::{FutureExt, pin_mut, select_biased};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
@@ -68,6 +68,9 @@
 /// ends it early.
 const OTHER_KINDS_MAX_BACKOFF: Duration = Duration::from_secs(4);
 
+/// Number of findings of one response that are logged with their places.
+const MAX_LOGGED_FINDINGS: usize = 8;
+
 /// Kinds of objects that a gateway keeps copies of.
 pub const FOLLOWED_KINDS: [FollowedKind; 4] = [
     FollowedKind::Policy,
@@ -100,6 +103,8 @@
     forwarded_version: Cell<Version>,
     // Version of the latest list that was forwarded: later messages continue at it.
     forwarded_list_version: Cell<Version>,
+    // Whether the latest list lacks objects that the store has. The host lists again after the next watch call.
+    truncated: Cell<bool>,
     // Whether the watch has to start again with a list.
     needs_list: Cell<bool>,
     // Whether the watch has to call the store now, even if a store watcher is live.
@@ -311,7 +316,13 @@
                 for object in &list.objects {
                     self.copies.apply_object(kind, now, object);
                 }
-                let removals = self.copies.retain_listed(kind, now, list.version, names);
+                let truncated = list.truncated && !self.has_policy(kind, &names);
+                state.truncated.set(truncated);
+                let removals = if truncated {
+                    Vec::new()
+                } else {
+                    self.copies.retain_listed(kind, now, list.version, names)
+                };
                 self.queue_list(kind, previous, &list, removals);
                 self.confirm(kind, state, sent_at.unwrap_or_default());
             }
@@ -321,6 +332,9 @@
                 version,
             } => {
                 self.note_store_version(version);
+                state
+                    .needs_list
+                    .set(state.truncated.get() || state.needs_list.get());
                 let is_unchanged = changes.is_empty();
                 self.queue_changes(kind, version, &changes);
                 state.advance_complete(version);
@@ -339,13 +353,18 @@
         }
     }
 
+    // Tells whether a list has the policy, beside which other objects of its kind do not matter.
+    fn has_policy(&self, kind: FollowedKind, names: &BTreeSet<String>) -> bool {
+        kind == FollowedKind::Policy && names.contains(&(self.dialect.policy_object)().1)
+    }
+
     // Records that the copy of a kind was complete at `at`; zero means unknown.
     fn confirm(&self, kind: FollowedKind, state: &KindState, at: BootTime) {
         if at.is_zero() {
             return;
         }
         state.listed.set(true);
-        if kind == FollowedKind::Policy {
+        if kind == FollowedKind::Policy && !state.truncated.get() {
             self.policy.borrow_mut().confirm(at);
         }
     }
@@ -375,6 +394,7 @@
             None => ("restarted", "restarted".to_owned(), 0),
             Some(Err(error)) => ("failed", format!("failed: {error}"), 0),
             Some(Ok(WatchStep::Listed { list, .. })) => {
+                self.log_findings(kind, &list.findings);
                 ("answered", "listed".to_owned(), list.objects.len())
             }
             Some(Ok(WatchStep::Changed { changes, .. })) => {
@@ -391,4 +411,14 @@
         info!(self.logger, "store call"; "kind" => kind, "outcome" => outcome, "objects" => objects,
             "wait_ms" => wait.as_millis(), "held_ms" => elapsed.as_millis(), "store_version" => version);
     }
+
+    // Logs what is wrong with a response of the store, in one line.
+    fn log_findings(&self, kind: &str, findings: &[String]) {
+        if findings.is_empty() {
+            return;
+        }
+        let shown = findings.len().min(MAX_LOGGED_FINDINGS);
+        warn!(self.logger, "store entries skipped"; "kind" => kind, "findings" => findings.len(),
+            "first" => findings[..shown].join("; "));
+    }
 }
--- a/crates/gateway/src/follow/forwarding.rs
+++ b/crates/gateway/src/follow/forwarding.rs
@@ -27,7 +27,7 @@
 
 impl StoreFollower {
     // Waits while store watchers forward changes to this host. It returns at once if nothing has been
-    // listed yet or changes were missed. After the start it waits for the first heartbeats of the store
+    // listed yet, the latest list was truncated or changes were missed. After the start it waits for the first heartbeats of the store
     // watchers.
     pub(super) async fn wait_while_store_watchers_forward(
         &self,
@@ -38,7 +38,8 @@
             let woken = state.wake.listen();
             let is_starting = boot_time().saturating_sub(self.started_at) < STARTUP_GRACE;
             let awaits_heartbeats = is_starting && kind != FollowedKind::Policy;
-            if !awaits_heartbeats && !self.can_rely_on_store_watchers(kind) {
+            let can_rely = !state.truncated.get() && self.can_rely_on_store_watchers(kind);
+            if !(awaits_heartbeats || can_rely) {
                 return;
             }
             state.has_long_wait.set(true);
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -18,6 +18,8 @@
 use fighall_kernel::kernel::MicroKernel;
 use fighall_store::{
     client::{ClientOptions, StoreClient},
+    errors::Result as StoreResult,
+    mapping::{ListPage, StoreMapping},
     object::ObjectChange,
 };
 use fighall_testkit::{faults::StoreFaults, platform::PlatformStandIn, relay::FaultRelay};
@@ -39,13 +41,16 @@
     follower: Rc<StoreFollower>,
 }
 
-fn new_kernel(store: SocketAddr) -> (Rc<MicroKernel>, Rc<RefCell<RequestRouter>>) {
+fn new_kernel(
+    store: SocketAddr,
+    mapping: StoreMapping,
+) -> (Rc<MicroKernel>, Rc<RefCell<RequestRouter>>) {
     let router = new_router();
     let dialect = native::dialect();
     let client = StoreClient::new(ClientOptions::with_address(store.to_string()));
     let client = client
         .expect("the client should be created")
-        .with_mapping(dialect.store);
+        .with_mapping(mapping);
     let kernel = MicroKernel::new();
     let registered = [
         kernel.register(names::DIALECT, Rc::new(dialect)),
@@ -77,6 +82,10 @@
 
     /// Starts a follower that has listed `targets`.
     async fn start(targets: &[&str]) -> Self {
+        Self::start_with_mapping(targets, native::dialect().store).await
+    }
+
+    async fn start_with_mapping(targets: &[&str], mapping: StoreMapping) -> Self {
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
         let store = PlatformStandIn::start(loopback, 1)
             .await
@@ -86,7 +95,7 @@
         }
         let relay = FaultRelay::start(store.address().to_string()).await;
         let relay = Rc::new(relay.expect("the relay should start"));
-        let (kernel, router) = new_kernel(relay.address());
+        let (kernel, router) = new_kernel(relay.address(), mapping);
         let follower =
             Rc::new(StoreFollower::new(&kernel).expect("the follower should be created"));
         compio::runtime::spawn(Rc::clone(&follower).follow(KIND)).detach();
@@ -269,7 +278,7 @@
         let store = PlatformStandIn::start(loopback, 1).await.expect("a store");
         let policy = serde_json::to_string(&support::policy(1)).expect("a policy");
         store.put(POLICIES, MAIN_POLICY, &policy);
-        let (kernel, router) = new_kernel(store.address());
+        let (kernel, router) = new_kernel(store.address(), native::dialect().store);
         let follower = Rc::new(StoreFollower::new(&kernel).expect("a follower"));
         compio::runtime::spawn(Rc::clone(&follower).run_checks()).detach();
         compio::runtime::spawn(follower.follow(FollowedKind::Policy)).detach();
@@ -316,7 +325,7 @@
     support::list_target(&store, "t1", ([127, 0, 0, 1], 9_000).into());
     let relay = FaultRelay::start(store.address().to_string()).await;
     let relay = relay.expect("a relay");
-    let (kernel, router) = new_kernel(relay.address());
+    let (kernel, router) = new_kernel(relay.address(), native::dialect().store);
     let follower = Rc::new(StoreFollower::new(&kernel).expect("a follower"));
     for kind in fighall_gateway::follow::FOLLOWED_KINDS {
         compio::runtime::spawn(Rc::clone(&follower).follow(kind)).detach();
@@ -364,3 +373,37 @@
         check_silence("all connections", FaultRelay::silence).await;
     });
 }
+
+thread_local! {
+    static PAGES_REPEAT: Cell<bool> = const { Cell::new(false) };
+}
+
+// Decodes a list; while its pages repeat, only the first object is returned.
+fn repeated_page(body: &[u8]) -> StoreResult<ListPage> {
+    let mut page = (StoreMapping::default().page)(body)?;
+    if PAGES_REPEAT.get() {
+        page.list.objects.truncate(1);
+        page.has_more = true;
+    }
+    Ok(page)
+}
+
+#[test]
+fn targets_that_a_truncated_list_lacks_are_kept_until_a_whole_one_lacks_them() {
+    run(async {
+        let mapping = StoreMapping {
+            page: repeated_page,
+            ..StoreMapping::default()
+        };
+        let test = TestFollower::start_with_mapping(&["t1", "t2", "t3"], mapping).await;
+        PAGES_REPEAT.set(true);
+        test.store.delete_with_history(native::TARGETS, "t3");
+        compio::time::sleep(Duration::from_secs(2)).await;
+        assert!(test.takes_work("t2"), "t2 is listed");
+        PAGES_REPEAT.set(false);
+        support::list_target(&test.store, "t4", ([127, 0, 0, 1], 9_000).into());
+        compio::time::sleep(Duration::from_secs(2)).await;
+        assert!(test.takes_work("t2") && test.takes_work("t4"));
+        assert!(!test.takes_work("t3"), "t3 is not listed");
+    });
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -2,6 +2,7 @@
 //! resolve a lost response by reading the object back.
 
 mod calls;
+mod lists;
 mod writes;
 
 use crate::{
@@ -9,7 +10,7 @@
     era::{StoreEra, era_of},
     errors::{Error, Result},
     mapping::{StoreCall, StoreMapping},
-    object::{ChangeBatch, ObjectList, StoreObject},
+    object::{ChangeBatch, StoreObject},
     stats::CallStats,
 };
 use bytes::Bytes;
@@ -204,79 +205,6 @@
         }
     }
 
-    /// Reads all objects of a kind.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no valid response arrived within the time limit for retries.
-    pub async fn list(&self, kind: &str) -> Result<ObjectList> {
-        self.list_pages(kind, false).await
-    }
-
-    /// Reads all objects of a kind and allows a slightly stale result, which some object APIs serve at a
-    /// lower cost. A watch from the version of the list returns the changes since then.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no valid response arrived within the time limit for retries.
-    pub async fn list_stale(&self, kind: &str) -> Result<ObjectList> {
-        self.list_pages(kind, true).await
-    }
-
-    async fn list_pages(&self, kind: &str, stale: bool) -> Result<ObjectList> {
-        let mut combined: Option<ObjectList> = None;
-        let mut after = None;
-        loop {
-            let call = StoreCall::List {
-                kind: kind.to_owned(),
-                after,
-                stale,
-            };
-            let response = self.call_with_retries(&call).await?;
-            expect_success(&response)?;
-            let page = (self.mapping.page)(&response.body)?;
-            let page_list = page.list.in_era(response.era);
-            // Pages of different eras cannot be combined: start again from the first page.
-            if combined
-                .as_ref()
-                .is_some_and(|list| era_of(list.version) != response.era)
-            {
-                combined = None;
-                after = None;
-                continue;
-            }
-            // Use the lowest page version, so that a watch from it returns all changes made during paging.
-            let list = combined.get_or_insert_with(|| ObjectList {
-                version: page_list.version,
-                objects: Vec::new(),
-            });
-            list.version = list.version.min(page_list.version);
-            list.objects.extend(page_list.objects);
-            after = list.objects.last().map(|object| object.name.clone());
-            if !page.has_more || after.is_none() {
-                break;
-            }
-        }
-        combined.ok_or_else(|| Error::invalid_response("list response without pages"))
-    }
-
-    /// Reads all objects of a kind in a single attempt with its own `timeout`, without retries.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no valid response arrived within `timeout`.
-    pub async fn list_with_timeout(&self, kind: &str, timeout: Duration) -> Result<ObjectList> {
-        let call = StoreCall::List {
-            kind: kind.to_owned(),
-            after: None,
-            stale: false,
-        };
-        let response = self.call_once(&call, timeout).await?;
-        expect_success(&response)?;
-        let list = (self.mapping.page)(&response.body)?.list;
-        Ok(list.in_era(response.era))
-    }
-
     /// Waits up to `wait` for changes of a kind after version `after`, in a single attempt without
     /// retries. The batch is marked as compacted if `after` belongs to another era.
     ///
--- a/crates/store/src/mirror.rs
+++ b/crates/store/src/mirror.rs
@@ -56,8 +56,8 @@
         self.version
     }
 
-    /// Applies a complete list; objects missing from it count as deleted. Returns the changes that had an
-    /// effect.
+    /// Applies a list; objects missing from it count as deleted, unless it is truncated. Returns the changes
+    /// that had an effect.
     pub fn apply_list(&mut self, list: &ObjectList) -> Vec<ObjectChange> {
         // A list older than the replica, for example of a restored store, has no effect.
         if list.version < self.version {
@@ -73,7 +73,7 @@
         }
         for (name, existing) in &self.objects {
             let listed = list.objects.iter().any(|object| object.name == *name);
-            if existing.value.is_some() && !listed {
+            if existing.value.is_some() && !listed && !list.truncated {
                 changes.push(ObjectChange {
                     name: name.clone(),
                     version: list.version,
@@ -187,7 +187,7 @@
         assert_eq!(mirror.value("a"), Some("new"));
         let list = ObjectList {
             version: 3,
-            objects: vec![],
+            ..ObjectList::default()
         };
         assert!(mirror.apply_list(&list).is_empty());
         assert_eq!(mirror.value("a"), Some("new"));
@@ -204,11 +204,25 @@
                 version: 6,
                 value: "y".to_owned(),
             }],
+            ..ObjectList::default()
         };
         assert_eq!(mirror.apply_list(&list), [change("a", 9, None)]);
         assert_eq!(mirror.changes_after(6), [change("a", 9, None)]);
     }
 
+    #[test]
+    fn objects_missing_from_a_truncated_list_are_kept() {
+        let mut mirror = KindMirror::new("keys");
+        mirror.apply(&[change("a", 5, Some("x"))], 5);
+        let list = ObjectList {
+            version: 9,
+            truncated: true,
+            ..ObjectList::default()
+        };
+        assert!(mirror.apply_list(&list).is_empty());
+        assert_eq!(mirror.value("a"), Some("x"));
+    }
+
     #[test]
     fn confirmation_of_an_older_version_is_ignored() {
         let mut mirror = KindMirror::new("keys");
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -38,11 +38,18 @@
 
 message! {
     /// `ObjectList` holds all objects of a kind at one version of the store.
+    #[derive(Default)]
     pub struct ObjectList {
         /// Version of the store at the time of the list.
         pub version: Version,
         /// Objects ordered by name.
         pub objects: Vec<StoreObject>,
+        /// Whether the store has objects that are missing here.
+        #[serde(skip)]
+        pub truncated: bool,
+        /// Errors in what the store returned, with their places.
+        #[serde(skip)]
+        pub findings: Vec<String>,
     }
 }
 
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -18,9 +18,9 @@
 value! {
     /// `WatchStep` is the result of one call of a watch.
     pub enum WatchStep {
-        /// Complete list of the kind, after a start or a compaction.
+        /// List of the kind, after a start or a compaction.
         Listed {
-            /// All objects.
+            /// All objects, unless the list is truncated.
             list: ObjectList,
             /// Time at which the call was sent; every write accepted before it is included. `None` for a
             /// stale list, which the next step brings up to date.
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -271,7 +271,7 @@
         let Some(state) = kinds.get(kind) else {
             return ObjectList {
                 version: self.version.get(),
-                objects: Vec::new(),
+                ..ObjectList::default()
             };
         };
         if faults.stale_reads {
@@ -280,11 +280,13 @@
             return ObjectList {
                 version: version.unwrap_or(0),
                 objects,
+                ..ObjectList::default()
             };
         }
         ObjectList {
             version: self.version.get(),
             objects: state.objects.values().cloned().collect(),
+            ..ObjectList::default()
         }
     }
 
--- a/crates/testkit/tests/watches.rs
+++ b/crates/testkit/tests/watches.rs
@@ -90,6 +90,7 @@
         list: ObjectList {
             version: 9 - 2 * number,
             objects: vec![object],
+            ..ObjectList::default()
         },
         has_more: number == 0,
     })
