store: an entry that cannot be decoded leaves the others of its page or batch

What callers saw: nothing was served after a restart while an entry of the lists had no readable name, or a revision of another type. Cause: metadata were decoded for the response as a whole, so that one entry failed the page, and with it the list of its kind; the same for a batch of events, of the platform's store and of our own dialect. Change: entries are decoded one by one (decode_each). One without a readable name becomes a finding with its position, which the hosts log. A page continues after its last readable name. A name that stands twice counts with its later version. Our own dialect replaces invalid UTF-8 as the platform's does.

--- a/crates/entry/src/mirrors.rs
+++ b/crates/entry/src/mirrors.rs
@@ -290,6 +290,7 @@
                 changes,
                 version,
                 sent_at,
+                ..
             } => {
                 let after = self.version(kind);
                 let news = self.apply(kind, &changes, version);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -330,6 +330,7 @@
                 changes,
                 sent_at,
                 version,
+                ..
             } => {
                 self.note_store_version(version);
                 state
@@ -397,7 +398,10 @@
                 self.log_findings(kind, &list.findings);
                 ("answered", "listed".to_owned(), list.objects.len())
             }
-            Some(Ok(WatchStep::Changed { changes, .. })) => {
+            Some(Ok(WatchStep::Changed {
+                changes, findings, ..
+            })) => {
+                self.log_findings(kind, findings);
                 ("answered", "watched".to_owned(), changes.len())
             }
         };
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -215,7 +215,7 @@
         let compacted_batch = ChangeBatch {
             version: after,
             compacted: true,
-            changes: Vec::new(),
+            ..ChangeBatch::default()
         };
         let call = StoreCall::Watch {
             kind: kind.to_owned(),
--- a/crates/store/src/client/lists.rs
+++ b/crates/store/src/client/lists.rs
@@ -7,18 +7,23 @@
     mapping::{ListPage, StoreCall},
     object::ObjectList,
 };
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 // Pages of a list that have been read.
 #[derive(Debug, Default)]
 struct PageCollector {
     list: Option<ObjectList>,
-    names: BTreeSet<String>,
+    // Position of each name in the list.
+    positions: BTreeMap<String, usize>,
 }
 
 impl PageCollector {
     // Adds a page. Returns whether it has names that no page before it had, so that the next one continues after it.
     fn add(&mut self, page: ObjectList) -> bool {
+        let place = self
+            .cursor()
+            .map(|cursor| format!("page after {cursor:?}, "));
+        let place = place.unwrap_or_default();
         let list = self.list.get_or_insert_with(|| ObjectList {
             version: page.version,
             ..ObjectList::default()
@@ -27,11 +32,18 @@
         list.version = list.version.min(page.version);
         let mut has_advanced = false;
         for object in page.objects {
-            has_advanced = self.names.insert(object.name.clone());
-            if has_advanced {
-                list.objects.push(object);
+            has_advanced = !self.positions.contains_key(&object.name);
+            let next_position = list.objects.len();
+            let position = self.positions.entry(object.name.clone());
+            match list.objects.get_mut(*position.or_insert(next_position)) {
+                None => list.objects.push(object),
+                Some(known) if known.version < object.version => *known = object,
+                Some(_) => {}
             }
         }
+        for finding in page.findings {
+            list.findings.push(format!("{place}{finding}"));
+        }
         has_advanced
     }
 
--- /dev/null
+++ b/crates/store/src/entries.rs
@@ -0,0 +1,49 @@
+//! Decoding of a response whose entries are independent of each other: one that cannot be decoded leaves the others.
+
+use crate::errors::{Error, Result};
+use serde::{Deserialize, Deserializer, de::DeserializeOwned};
+use serde_json::value::RawValue;
+
+/// Text of an entry that has not been decoded yet.
+pub type RawEntry = Box<RawValue>;
+
+/// Decodes a response. Invalid UTF-8 is replaced, so that only the entry that contains it may fail to decode.
+///
+/// # Errors
+///
+/// Returns an error if the response has another format.
+pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    let text = String::from_utf8_lossy(body);
+    serde_json::from_str(&text).map_err(Error::invalid_response)
+}
+
+/// Decodes each entry by `decode_entry`. Returns those that could be decoded, and a finding with the position of each
+/// other one, from 0.
+pub fn decode_each<T>(
+    entries: &[RawEntry],
+    decode_entry: impl Fn(&str) -> serde_json::Result<T>,
+) -> (Vec<T>, Vec<String>) {
+    let mut decoded = Vec::new();
+    let mut findings = Vec::new();
+    for (position, entry) in entries.iter().enumerate() {
+        match decode_entry(entry.get()) {
+            Ok(entry) => decoded.push(entry),
+            Err(error) => findings.push(format!("entry {position}: {error}")),
+        }
+    }
+    (decoded, findings)
+}
+
+/// Decodes a field; `None` if it is of another type, so that the other fields can still be decoded.
+///
+/// # Errors
+///
+/// Returns the error of a text that is not JSON.
+pub fn deserialize_lenient<'de, D, T>(deserializer: D) -> std::result::Result<Option<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: DeserializeOwned,
+{
+    let text = RawEntry::deserialize(deserializer)?;
+    Ok(serde_json::from_str(text.get()).ok())
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -21,6 +21,7 @@
 
 pub mod budget;
 pub mod client;
+pub mod entries;
 pub mod era;
 pub mod errors;
 pub mod mapping;
--- a/crates/store/src/mapping.rs
+++ b/crates/store/src/mapping.rs
@@ -13,14 +13,15 @@
 //! `Fighall-Store-Era`.
 
 use crate::{
+    entries::{RawEntry, decode, decode_each},
     era::{StoreEra, revision_of},
-    errors::{Error, Result},
+    errors::Result,
     object::{ChangeBatch, ObjectList, StoreObject, WriteResponse},
     target::RequestTarget,
 };
 use fighall_core::{ids::Version, value};
 use http::{HeaderMap, Method};
-use serde::de::DeserializeOwned;
+use serde::Deserialize;
 use std::time::Duration;
 
 /// Response header that carries the store's era.
@@ -55,14 +56,8 @@
             parts: StoreCall::parts,
             era: |headers| read_era(headers, ERA_HEADER),
             object: decode,
-            page: |body| {
-                let list = decode(body)?;
-                Ok(ListPage {
-                    list,
-                    has_more: false,
-                })
-            },
-            changes: decode,
+            page,
+            changes,
             version: |body| decode::<WriteResponse>(body).map(|response| response.version),
         }
     }
@@ -78,8 +73,43 @@
     }
 }
 
-fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
-    serde_json::from_slice(body).map_err(Error::invalid_response)
+#[derive(Deserialize)]
+struct RawPage {
+    version: Version,
+    objects: Vec<RawEntry>,
+}
+
+#[derive(Deserialize)]
+struct RawBatch {
+    version: Version,
+    compacted: bool,
+    changes: Vec<RawEntry>,
+}
+
+fn page(body: &[u8]) -> Result<ListPage> {
+    let page: RawPage = decode(body)?;
+    let (objects, findings) = decode_each(&page.objects, |text| serde_json::from_str(text));
+    let list = ObjectList {
+        version: page.version,
+        objects,
+        findings,
+        ..ObjectList::default()
+    };
+    Ok(ListPage {
+        list,
+        has_more: false,
+    })
+}
+
+fn changes(body: &[u8]) -> Result<ChangeBatch> {
+    let batch: RawBatch = decode(body)?;
+    let (changes, findings) = decode_each(&batch.changes, |text| serde_json::from_str(text));
+    Ok(ChangeBatch {
+        version: batch.version,
+        compacted: batch.compacted,
+        changes,
+        findings,
+    })
 }
 
 value! {
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -67,6 +67,7 @@
 
 message! {
     /// `ChangeBatch` is the result of a watch call: the changes after a version.
+    #[derive(Default)]
     pub struct ChangeBatch {
         /// Version of the store up to which changes are included.
         pub version: Version,
@@ -74,6 +75,9 @@
         pub compacted: bool,
         /// Changes ordered by version.
         pub changes: Vec<ObjectChange>,
+        /// Errors in what the store returned, with their places.
+        #[serde(skip)]
+        pub findings: Vec<String>,
     }
 }
 
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -35,6 +35,8 @@
             /// Time at which the call was sent; every write accepted before it is included. Zero after a
             /// compaction, when nothing is known to be complete.
             sent_at: BootTime,
+            /// Errors in what the store returned, with their places.
+            findings: Vec<String>,
         },
     }
 }
@@ -131,6 +133,7 @@
                 changes: Vec::new(),
                 version: after,
                 sent_at: Duration::ZERO,
+                findings: Vec::new(),
             });
         }
         self.after = Some(batch.version);
@@ -138,6 +141,7 @@
             changes: batch.changes,
             version: batch.version,
             sent_at,
+            findings: batch.findings,
         })
     }
 }
--- a/crates/testkit/src/platform.rs
+++ b/crates/testkit/src/platform.rs
@@ -295,8 +295,7 @@
         let Some(state) = kinds.get(kind) else {
             return ChangeBatch {
                 version: self.version.get(),
-                compacted: false,
-                changes: Vec::new(),
+                ..ChangeBatch::default()
             };
         };
         let newer = state.log.iter().filter(|change| change.version > after);
@@ -305,6 +304,7 @@
             // A version that the store does not have is of another era.
             compacted: after < state.compacted || after > self.version.get(),
             changes: newer.cloned().collect(),
+            ..ChangeBatch::default()
         }
     }
 
