gateway: an entry whose name no header can carry names no target

What callers saw: a request that may run once was sent to, and run by, the address of an entry whose name is empty, or has a control character or a blank at an end. Its target had not been named, so that whatever upstream has that address now runs it. Cause: the header with the target's name is left out if the name is not a valid value, and a receiver strips blanks at its ends. Names are the store's keys, which may hold any text. Change: such an entry is skipped with a log line, as one that cannot be decoded. Names beyond ASCII are sent as they are, as before. Conclusion: each target that a request may be sent to can be named in it.

--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -2,11 +2,18 @@
 //! that cannot be decoded are skipped and logged.
 
 use crate::{
-    dialect::WireDialect, message::FollowedKind, metrics::GatewayMetrics, names,
-    policy_copy::PolicyCopy, registry::HostEntry, roster::RESTORE_GRACE, router::RequestRouter,
+    dialect::WireDialect,
+    message::FollowedKind,
+    metrics::GatewayMetrics,
+    names,
+    policy_copy::PolicyCopy,
+    registry::HostEntry,
+    roster::{RESTORE_GRACE, TargetEntry},
+    router::RequestRouter,
 };
 use fighall_core::ids::{BootTime, Version};
-use fighall_kernel::{errors::Result, kernel::MicroKernel};
+use fighall_kernel::{errors::Result as KernelResult, kernel::MicroKernel};
+use fighall_net::headers;
 use fighall_store::object::{ObjectChange, StoreObject};
 use slog::{Logger, info, warn};
 use std::{
@@ -52,7 +59,7 @@
     /// # Errors
     ///
     /// Returns an error if a required service is not registered.
-    pub fn new(kernel: &MicroKernel) -> Result<Self> {
+    pub fn new(kernel: &MicroKernel) -> KernelResult<Self> {
         Ok(Self {
             dialect: kernel.find(names::DIALECT)?,
             router: kernel.find(names::ROUTER)?,
@@ -273,8 +280,16 @@
             "store_version" => object.version, "in_force" => in_force);
     }
 
+    // Each request names the target that may run it in a header.
+    fn read_target(&self, object: &StoreObject) -> Result<TargetEntry, String> {
+        if !headers::is_sendable(&object.name) {
+            return Err("the name cannot be sent in a header".to_owned());
+        }
+        (self.dialect.read_target)(&object.name, &object.value)
+    }
+
     fn apply_target(&self, now: BootTime, object: &StoreObject) {
-        let entry = match (self.dialect.read_target)(&object.name, &object.value) {
+        let entry = match self.read_target(object) {
             Ok(entry) => entry,
             Err(error) => {
                 warn!(self.logger, "target entry skipped"; "target" => &object.name,
--- a/crates/net/src/headers.rs
+++ b/crates/net/src/headers.rs
@@ -126,6 +126,12 @@
     text.parse().unwrap_or(path_and_query)
 }
 
+/// Tells whether a text arrives unchanged as a header value: it is not empty, has no control characters and no blank at
+/// either end.
+pub fn is_sendable(text: &str) -> bool {
+    !text.is_empty() && text.trim() == text && HeaderValue::from_str(text).is_ok()
+}
+
 /// Sets a header, unless the text is not a valid header value.
 pub fn set(headers: &mut HeaderMap, name: &HeaderName, text: &str) {
     if let Ok(value) = HeaderValue::from_str(text) {
