Look-ups and operators' queries are decoded as forms are encoded

Cause: values of the query were compared as they came; one place replaced `%3A` alone. Change: the three readers of look-ups and the operators' calls decode with form_urlencoded, and fighall-ctl encodes what it sends for `explain`. `+` stands for a blank, as in any form; plain names are read as before.

--- a/crates/entry/src/lookups.rs
+++ b/crates/entry/src/lookups.rs
@@ -187,14 +187,12 @@
 
 fn parse(query: &str) -> std::result::Result<LookupQuery, String> {
     let mut parsed = LookupQuery::default();
-    for pair in query.split('&').filter(|pair| !pair.is_empty()) {
-        let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
-        match name {
-            "service" => parsed.service = value.to_owned(),
-            "organisation" => parsed.organisation = value.to_owned(),
+    for (name, value) in form_urlencoded::parse(query.as_bytes()) {
+        match name.as_ref() {
+            "service" => parsed.service = value.into_owned(),
+            "organisation" => parsed.organisation = value.into_owned(),
             "client" => {
-                let address = value.replace("%3A", ":").replace("%3a", ":");
-                let address = address.parse();
+                let address = value.parse();
                 let address = address.map_err(|_| format!("`{value}` is not an IP address"))?;
                 parsed.client = Some(address);
             }
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -327,13 +327,9 @@
 }
 
 fn parameter(query: &str, name: &str) -> Option<String> {
-    for pair in query.split('&') {
-        let (key, value) = pair.split_once('=').unwrap_or((pair, ""));
-        if key == name {
-            return Some(value.to_owned());
-        }
-    }
-    None
+    let mut parameters = form_urlencoded::parse(query.as_bytes());
+    let (_, value) = parameters.find(|(key, _)| key == name)?;
+    Some(value.into_owned())
 }
 
 fn parse_stamp(text: &str) -> Option<HybridStamp> {
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -174,11 +174,11 @@
 
 fn read_lookup(query: &str) -> LookupQuery {
     let mut lookup = LookupQuery::default();
-    for pair in query.split('&') {
-        match pair.split_once('=') {
-            Some(("service", value)) => value.clone_into(&mut lookup.name),
-            Some(("region", value)) => value.clone_into(&mut lookup.region),
-            Some(("zone", value)) => value.clone_into(&mut lookup.zone),
+    for (name, value) in form_urlencoded::parse(query.as_bytes()) {
+        match name.as_ref() {
+            "service" => lookup.name = value.into_owned(),
+            "region" => lookup.region = value.into_owned(),
+            "zone" => lookup.zone = value.into_owned(),
             _ => {}
         }
     }
--- a/crates/testkit/tests/wire.rs
+++ b/crates/testkit/tests/wire.rs
@@ -101,3 +101,21 @@
         assert_eq!(started, 0);
     });
 }
+
+#[test]
+fn a_lookup_is_the_same_with_and_without_encoding() {
+    run(async {
+        let cluster = LocalCluster::start(small()).await.unwrap();
+        let entry = cluster.entries().remove(0);
+        for query in [
+            "service=desk",
+            "service=%64esk",
+            "&ser%76ice=des%6B&client=%3A%3a1",
+        ] {
+            let head =
+                format!("GET /.fighall/hosts?{query} HTTP/1.1\r\nHost: desk.example\r\n\r\n");
+            let text = exchange(&entry, &[&head], Duration::ZERO, "\r\n\r\n{").await;
+            assert!(text.starts_with("HTTP/1.1 200"), "{query}: {text}");
+        }
+    });
+}
--- a/crates/tools/src/explain.rs
+++ b/crates/tools/src/explain.rs
@@ -7,6 +7,7 @@
 };
 use clap::{Arg, ArgMatches, Command};
 use fighall_entry::status::ExplainAnswer;
+use fighall_store::target::RequestTarget;
 
 /// Creates the subcommand.
 pub fn command() -> Command {
@@ -41,7 +42,10 @@
         .cloned()
         .unwrap_or_default();
     let wanted = matches.get_one::<String>("host");
-    let target = format!("/explain?service={service}&organisation={organisation}");
+    let target = RequestTarget::new("/explain")
+        .with_parameter("service", &service)
+        .with_parameter("organisation", &organisation)
+        .into_text();
     let mut answers = Vec::new();
     for lease in access.leases().await? {
         if wanted.is_some_and(|wanted| *wanted != lease.host) {
