test: no caller gets an answer with an odd status or field name

Reported of other systems: a status of 000, or a field name with a blank or a control byte, reached clients as an answer. It does not here: the HTTP library fails such a head, the attempt counts as one that may have run, and its connection is not used again. No code of the product changes. The raw target of malformed.rs has a module of its own, with its tests as they were, so that both files use it. Not played: the look of each odd head at the health checks of crates/entry, which use the same exchange.

--- a/crates/entry/tests/exchange.rs
+++ b/crates/entry/tests/exchange.rs
@@ -11,6 +11,7 @@
     pool::{ConnectionOptions, ConnectionPool},
 };
 use fighall_route::retry::AttemptResult;
+use fighall_testkit::odd_heads::{FIELD_LINES, STATUS_LINES};
 use http::Request;
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -108,3 +109,44 @@
         assert_eq!(second.expect("an answer"), "e1 run 2");
     });
 }
+
+// Starts a target that sends the same bytes for each request.
+async fn start_odd_target(bytes: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("the listener should be bound");
+    let address = listener.local_addr().expect("the address should be known");
+    compio::runtime::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let _ = stream.read(Vec::with_capacity(4_096)).await;
+            let _ = stream.write_all(bytes.clone()).await;
+            let _ = stream.read(Vec::with_capacity(4_096)).await;
+        }
+    })
+    .detach();
+    address
+}
+
+#[test]
+fn an_odd_status_or_field_name_is_no_answer() {
+    let runtime = compio::runtime::Runtime::new().expect("the runtime should start");
+    runtime.block_on(async {
+        let field = b"fighall-request: e1\r\nx-run: 1\r\ncontent-length: 0\r\n";
+        let mut heads = Vec::new();
+        for line in STATUS_LINES {
+            heads.push([line.as_bytes(), b"\r\n", field, b"\r\n"].concat());
+        }
+        for line in FIELD_LINES {
+            heads.push([b"HTTP/1.1 200 OK\r\n", line, field, b"\r\n"].concat());
+        }
+        for head in heads {
+            let shown = head.escape_ascii().to_string();
+            let pool = Rc::new(ConnectionPool::new());
+            let address = start_odd_target(head).await;
+            let answer = send_request(&pool, address, "e1").await;
+            assert!(
+                matches!(answer, Err(AttemptResult::MayHaveRun)),
+                "{shown}: {answer:?}"
+            );
+        }
+    });
+}
--- a/crates/gateway/tests/malformed.rs
+++ b/crates/gateway/tests/malformed.rs
@@ -1,10 +1,11 @@
 //! Malformed messages of targets and peers: the host continues to serve, and no caller receives the
 //! response to another request.
 
+mod raw_target;
 mod support;
 
 use compio::{
-    io::{AsyncRead, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::{TcpListener, TcpStream, UdpSocket},
 };
 use fighall_core::ids::Version;
@@ -16,7 +17,8 @@
 use fighall_testkit::{
     behaviour::TargetBehaviour, platform::PlatformStandIn, target::TargetStandIn,
 };
-use std::{cell::Cell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use raw_target::{read_request, start_raw_target};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 use support::{KEY, TestFleet, list_target, policy, send, settings, start_gateway};
 
 /// Time after which a starting host has copied everything that was listed.
@@ -27,18 +29,6 @@
     runtime.block_on(test);
 }
 
-// Reads a request. Returns its identifier; none at the end of the connection.
-async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<String>> {
-    let compio::BufResult(read, head) = stream.read(Vec::with_capacity(4_096)).await;
-    if read? == 0 {
-        return Ok(None);
-    }
-    let head = String::from_utf8_lossy(&head).to_lowercase();
-    let mut lines = head.lines();
-    let id = lines.find_map(|line| line.strip_prefix("fighall-request: "));
-    Ok(Some(id.unwrap_or("").to_owned()))
-}
-
 // Sends the response to each request twice: the second copy either 20 ms later, while the connection is
 // idle, or in front of the next response.
 async fn send_duplicates(mut stream: TcpStream, copy_while_idle: bool) -> std::io::Result<()> {
@@ -234,44 +224,6 @@
     });
 }
 
-// Answers each request on a connection with what `respond` returns for the number of the request and its
-// identifier, and closes the connection if it returns true.
-async fn serve_raw(
-    mut stream: TcpStream,
-    requests: Rc<Cell<usize>>,
-    respond: impl Fn(usize, &str) -> (Vec<u8>, bool),
-) -> std::io::Result<()> {
-    while let Some(id) = read_request(&mut stream).await? {
-        let number = requests.get();
-        requests.set(number + 1);
-        let (response, closes) = respond(number, &id);
-        stream.write_all(response).await.0?;
-        if closes {
-            break;
-        }
-    }
-    Ok(())
-}
-
-async fn start_raw_target(
-    respond: impl Fn(usize, &str) -> (Vec<u8>, bool) + Clone + 'static,
-) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-    let address = listener.local_addr().expect("an address");
-    let requests = Rc::new(Cell::new(0));
-    compio::runtime::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let served = serve_raw(stream, Rc::clone(&requests), respond.clone());
-            compio::runtime::spawn(async move {
-                let _ = served.await;
-            })
-            .detach();
-        }
-    })
-    .detach();
-    address
-}
-
 const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nfighall-target: t0\r\nfighall-run: no\r\ncontent-length: 0\r\n\r\n";
 
 fn full_response(id: &str) -> String {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod load;
 pub mod loopback;
 pub mod network;
+pub mod odd_heads;
 pub mod platform;
 pub mod record;
 pub mod relay;
--- /dev/null
+++ b/crates/testkit/tests/store_answers.rs
@@ -0,0 +1,76 @@
+//! Responses of the store whose status or field names HTTP does not allow.
+
+use compio::{
+    io::{AsyncRead, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+use fighall_store::client::{ClientOptions, StoreClient};
+use fighall_testkit::odd_heads::{FIELD_LINES, STATUS_LINES};
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
+
+fn response(status_line: &str, line: &[u8], value: &str) -> Vec<u8> {
+    let body = format!("{{\"name\":\"a\",\"version\":1,\"value\":\"{value}\"}}");
+    let rest = format!("content-length: {}\r\n\r\n{body}", body.len());
+    [status_line.as_bytes(), b"\r\n", line, rest.as_bytes()].concat()
+}
+
+// Sends `odd` for every other request, and a proper response with the value `good` for the others.
+async fn serve(mut stream: TcpStream, odd: &[u8], calls: &Cell<u32>) -> std::io::Result<()> {
+    loop {
+        let compio::BufResult(length, _) = stream.read(Vec::with_capacity(4_096)).await;
+        if length? == 0 {
+            return Ok(());
+        }
+        calls.set(calls.get() + 1);
+        let response = if calls.get() % 2 == 1 {
+            odd.to_vec()
+        } else {
+            response("HTTP/1.1 200 OK", b"", "good")
+        };
+        stream.write_all(response).await.0?;
+    }
+}
+
+async fn start_store(odd: Vec<u8>, calls: Rc<Cell<u32>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("the listener should be bound");
+    let address = listener.local_addr().expect("the address should be known");
+    compio::runtime::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (odd, calls) = (odd.clone(), Rc::clone(&calls));
+            compio::runtime::spawn(async move {
+                let _ = serve(stream, &odd, &calls).await;
+            })
+            .detach();
+        }
+    })
+    .detach();
+    address
+}
+
+#[test]
+fn an_odd_status_or_field_name_of_the_store_is_no_answer() {
+    let runtime = compio::runtime::Runtime::new().expect("the runtime should start");
+    runtime.block_on(async {
+        let mut responses = Vec::new();
+        for line in STATUS_LINES {
+            responses.push(response(line, b"", "odd"));
+        }
+        for line in FIELD_LINES {
+            responses.push(response("HTTP/1.1 200 OK", line, "odd"));
+        }
+        for odd in responses {
+            let shown = odd.escape_ascii().to_string();
+            let calls = Rc::new(Cell::new(0));
+            let address = start_store(odd, Rc::clone(&calls)).await;
+            let options = ClientOptions::with_address(address.to_string());
+            let client = StoreClient::new(options).expect("the client should be created");
+            for _ in 0..2 {
+                let object = client.get("hosts", "a").await;
+                let object = object.unwrap_or_else(|error| panic!("{shown}: {error}"));
+                assert_eq!(object.expect("the object exists").value, "good", "{shown}");
+            }
+            assert_eq!(calls.get(), 4, "{shown}");
+        }
+    });
+}
