test: a drain reaches all hosts behind entries that fit no message

Names after the list: an entry of 1 MB, one that compresses to a small datagram but exceeds the bound of a decompressed message, and a hundred names of 4 KB stand before a target that leaves. The changes are not forwarded, the other hosts find out that they miss some and query the store, and no host uses the target after the drain bound of 2.5 s. Already handled; no code of the product changes.

--- a/crates/gateway/tests/region.rs
+++ b/crates/gateway/tests/region.rs
@@ -227,3 +227,40 @@
         assert!(idle_calls <= 8, "{idle_calls} calls within 3 s afterwards");
     });
 }
+
+// Text of random letters, which does not get smaller when it is compressed by much.
+fn random_text(random: &mut fastrand::Rng, length: usize) -> String {
+    (0..length).map(|_| random.alphanumeric()).collect()
+}
+
+// Writes entries of another writer, then lets the only target leave, and checks that no host uses it after the bound.
+async fn expect_drain_behind(shown: &str, entries: &[(String, String)]) {
+    let fleet = TestFleet::start(1, "").await;
+    let mut hosts = vec![fleet.callers];
+    hosts.extend(add_hosts(fleet.store.address(), 3).await);
+    fleet.publish(|_| {}).await;
+    compio::time::sleep(Duration::from_millis(3_500)).await;
+    assert_eq!(statuses(&hosts, "/read/a", "m1").await, [200; 4], "{shown}");
+    for (name, value) in entries {
+        fleet.store.put(TARGETS, name, value);
+    }
+    put_target(&fleet.store, "t0", fleet.targets[0].address(), true);
+    compio::time::sleep(DRAIN_BOUND).await;
+    assert_eq!(statuses(&hosts, "/read/a", "m2").await, [503; 4], "{shown}");
+}
+
+#[test]
+fn a_drain_reaches_all_hosts_behind_entries_that_fit_no_message() {
+    run(async {
+        let mut random = fastrand::Rng::with_seed(1);
+        let large = vec![("odd".to_owned(), random_text(&mut random, 1_000_000))];
+        expect_drain_behind("a value of 1 MB", &large).await;
+        let compressible = vec![("odd".to_owned(), "a".repeat(1_040_000))];
+        expect_drain_behind("a value that compresses", &compressible).await;
+        let mut names = Vec::new();
+        for _ in 0..100 {
+            names.push((random_text(&mut random, 4_000), "odd".to_owned()));
+        }
+        expect_drain_behind("names of 4 KB", &names).await;
+    });
+}
