--- a/crates/store/src/entries.rs
+++ b/crates/store/src/entries.rs
@@ -7,14 +7,27 @@
 /// Text of an entry that has not been decoded yet.
 pub type RawEntry = Box<RawValue>;
 
-/// Decodes a response. Invalid UTF-8 is replaced, so that only the entry that contains it may fail to decode.
+/// Decodes a response. Bytes that are not allowed are replaced by [`char::REPLACEMENT_CHARACTER`], so that only the entry
+/// that contains them may fail to decode.
 ///
 /// # Errors
 ///
 /// Returns an error if the response has another format.
 pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
     let text = String::from_utf8_lossy(body);
-    serde_json::from_str(&text).map_err(Error::invalid_response)
+    let decoded = serde_json::from_str(&text);
+    let decoded = decoded.or_else(|_| serde_json::from_str(&replace_control_characters(&text)));
+    decoded.map_err(Error::invalid_response)
+}
+
+// JSON allows control characters as white space between values only.
+fn replace_control_characters(text: &str) -> String {
+    let replace = |character| match character {
+        '\t' | '\n' | '\r' => ' ',
+        '\0'..='\x1f' => char::REPLACEMENT_CHARACTER,
+        other => other,
+    };
+    text.chars().map(replace).collect()
 }
 
 /// Decodes each entry by `decode_entry`. Returns those that could be decoded, and a finding with the position of each
