Rename what this change added by the field's terms

Paths of calls are RequestPath, since a target is something else here; names have reserved characters, entries and heads are malformed.

--- a/crates/entry/tests/exchange.rs
+++ b/crates/entry/tests/exchange.rs
@@ -11,7 +11,7 @@
     pool::{ConnectionOptions, ConnectionPool},
 };
 use fighall_route::retry::AttemptResult;
-use fighall_testkit::odd_heads::{FIELD_LINES, STATUS_LINES};
+use fighall_testkit::malformed_heads::{FIELD_LINES, STATUS_LINES};
 use http::Request;
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -111,7 +111,7 @@
 }
 
 // Starts a target that sends the same bytes for each request.
-async fn start_odd_target(bytes: Vec<u8>) -> SocketAddr {
+async fn start_repeating_target(bytes: Vec<u8>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await;
     let listener = listener.expect("the listener should be bound");
     let address = listener.local_addr().expect("the address should be known");
@@ -127,7 +127,7 @@
 }
 
 #[test]
-fn an_odd_status_or_field_name_is_no_answer() {
+fn a_malformed_head_is_no_answer() {
     let runtime = compio::runtime::Runtime::new().expect("the runtime should start");
     runtime.block_on(async {
         let field = b"fighall-request: e1\r\nx-run: 1\r\ncontent-length: 0\r\n";
@@ -141,7 +141,7 @@
         for head in heads {
             let shown = head.escape_ascii().to_string();
             let pool = Rc::new(ConnectionPool::new());
-            let address = start_odd_target(head).await;
+            let address = start_repeating_target(head).await;
             let answer = send_request(&pool, address, "e1").await;
             assert!(
                 matches!(answer, Err(AttemptResult::MayHaveRun)),
--- a/crates/gateway/tests/odd_answers.rs
+++ b/crates/gateway/tests/malformed_responses.rs
@@ -1,4 +1,4 @@
-//! Responses of targets whose status or field names HTTP does not allow: no caller gets them as an answer.
+//! Responses of targets with a status or a field name that HTTP does not allow: no caller gets them as an answer.
 
 mod raw_target;
 mod support;
@@ -12,7 +12,7 @@
 use fighall_net::pool::ConnectionPool;
 use fighall_testkit::{
     behaviour::TargetBehaviour,
-    odd_heads::{FIELD_LINES, STATUS_LINES},
+    malformed_heads::{FIELD_LINES, STATUS_LINES},
     target::TargetStandIn,
 };
 use http::{HeaderMap, Method};
@@ -36,10 +36,10 @@
 }
 
 // Bytes that a target sends for a request, by the request's identifier.
-type OddResponse = Rc<dyn Fn(&str) -> Vec<u8>>;
+type MalformedResponse = Rc<dyn Fn(&str) -> Vec<u8>>;
 
-fn odd_responses() -> Vec<(String, OddResponse)> {
-    let mut responses: Vec<(String, OddResponse)> = Vec::new();
+fn malformed_responses() -> Vec<(String, MalformedResponse)> {
+    let mut responses: Vec<(String, MalformedResponse)> = Vec::new();
     for line in STATUS_LINES {
         let respond = move |id: &str| response(line, b"", id);
         responses.push((line.to_owned(), Rc::new(respond)));
@@ -57,16 +57,16 @@
     responses
 }
 
-// Starts a host with a target that sends the odd response N to requests whose identifier begins with `odd-N-`, in
+// Starts a host with a target that sends the malformed response N to requests whose identifier begins with `malformed-N-`, in
 // parts. Returns how many it has sent as well.
 async fn start_fleet(part_bytes: usize, bounds: &str) -> (TestFleet, Rc<Cell<usize>>) {
     let fleet = TestFleet::start(0, bounds).await;
-    let responses = odd_responses();
-    let odd_count = Rc::new(Cell::new(0));
-    let sent_count = Rc::clone(&odd_count);
+    let responses = malformed_responses();
+    let malformed_count = Rc::new(Cell::new(0));
+    let sent_count = Rc::clone(&malformed_count);
     let address = start_raw_target_in_parts(part_bytes, move |_, id| {
         let number = id
-            .strip_prefix("odd-")
+            .strip_prefix("malformed-")
             .and_then(|rest| rest.split('-').next());
         let bytes = match number.and_then(|number| number.parse::<usize>().ok()) {
             Some(number) => {
@@ -78,18 +78,18 @@
         (bytes, false)
     });
     list_target(&fleet.store, "t0", address.await);
-    (fleet, odd_count)
+    (fleet, malformed_count)
 }
 
 // Checks that a request that may run once gets 502, on a new and on a kept connection, and that the next one is served.
 async fn expect_no_answer(part_bytes: usize) {
-    let (fleet, odd_count) = start_fleet(part_bytes, "").await;
+    let (fleet, malformed_count) = start_fleet(part_bytes, "").await;
     fleet.publish(|_| {}).await;
     compio::time::sleep(LISTING_DELAY).await;
     let client = cyper::Client::new().expect("the client should be created");
-    for (number, (shown, _)) in odd_responses().iter().enumerate() {
+    for (number, (shown, _)) in malformed_responses().iter().enumerate() {
         for step in ["1", "2"] {
-            for (kind, status) in [("odd", 502), ("good", 200)] {
+            for (kind, status) in [("malformed", 502), ("good", 200)] {
                 let id = format!("{kind}-{number}-{step}");
                 let answer = send(&client, fleet.callers, "/write/a", &id, KEY).await;
                 let answer = answer.unwrap_or_else(|error| panic!("{shown}, {id}: {error}"));
@@ -98,23 +98,23 @@
             }
         }
     }
-    assert_eq!(odd_count.get(), 2 * odd_responses().len());
+    assert_eq!(malformed_count.get(), 2 * malformed_responses().len());
 }
 
 #[test]
-fn no_caller_gets_a_response_with_an_odd_status_or_field_name() {
+fn no_caller_gets_a_response_with_a_malformed_head() {
     run(expect_no_answer(usize::MAX));
 }
 
 #[test]
-fn no_caller_gets_a_response_with_an_odd_status_or_field_name_in_parts() {
+fn no_caller_gets_a_response_with_a_malformed_head_in_parts() {
     run(expect_no_answer(7));
 }
 
 #[test]
 fn a_request_that_may_be_repeated_is_served_by_another_target() {
     run(async {
-        let (fleet, odd_count) = start_fleet(usize::MAX, RETRIES_AT_START).await;
+        let (fleet, malformed_count) = start_fleet(usize::MAX, RETRIES_AT_START).await;
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
         let target = TargetStandIn::start("t1", loopback, TargetBehaviour::default()).await;
         let target = target.expect("the target should start");
@@ -122,9 +122,9 @@
         fleet.publish(|_| {}).await;
         compio::time::sleep(LISTING_DELAY).await;
         let client = cyper::Client::new().expect("the client should be created");
-        for (number, (shown, _)) in odd_responses().iter().enumerate() {
+        for (number, (shown, _)) in malformed_responses().iter().enumerate() {
             for step in 0..3 {
-                let id = format!("odd-{number}-{step}");
+                let id = format!("malformed-{number}-{step}");
                 let answer = send(&client, fleet.callers, "/read/a", &id, KEY).await;
                 let answer = answer.unwrap_or_else(|error| panic!("{shown}, {id}: {error}"));
                 assert_eq!(answer.status, 200, "{shown}, {id}");
@@ -135,14 +135,17 @@
                 );
             }
         }
-        assert!(odd_count.get() > 0, "no request was sent to the odd target");
+        assert!(
+            malformed_count.get() > 0,
+            "no request was sent to the malformed target"
+        );
     });
 }
 
 #[test]
-fn a_request_that_was_passed_to_another_host_gets_no_odd_response() {
+fn a_request_that_was_passed_to_another_host_gets_no_malformed_response() {
     run(async {
-        for (shown, respond) in odd_responses() {
+        for (shown, respond) in malformed_responses() {
             let address = start_raw_target(move |_, id| (respond(id), false)).await;
             let request = PreparedRequest {
                 id: "m1".to_owned(),
@@ -170,7 +173,7 @@
 }
 
 #[test]
-fn an_odd_field_name_in_trailers_reaches_no_caller() {
+fn a_malformed_field_in_trailers_reaches_no_caller() {
     run(async {
         let fleet = TestFleet::start(0, "").await;
         let address = start_raw_target(move |_, id| {
@@ -193,7 +196,7 @@
         for (number, line) in FIELD_LINES.iter().enumerate() {
             let shown = line.escape_ascii();
             for id in [
-                format!("odd-{number}"),
+                format!("malformed-{number}"),
                 "good".to_owned(),
                 format!("again-{number}"),
             ] {
--- a/crates/gateway/tests/region.rs
+++ b/crates/gateway/tests/region.rs
@@ -253,13 +253,13 @@
 fn a_drain_reaches_all_hosts_behind_entries_that_fit_no_message() {
     run(async {
         let mut random = fastrand::Rng::with_seed(1);
-        let large = vec![("odd".to_owned(), random_text(&mut random, 1_000_000))];
+        let large = vec![("foreign".to_owned(), random_text(&mut random, 1_000_000))];
         expect_drain_behind("a value of 1 MB", &large).await;
-        let compressible = vec![("odd".to_owned(), "a".repeat(1_040_000))];
+        let compressible = vec![("foreign".to_owned(), "a".repeat(1_040_000))];
         expect_drain_behind("a value that compresses", &compressible).await;
         let mut names = Vec::new();
         for _ in 0..100 {
-            names.push((random_text(&mut random, 4_000), "odd".to_owned()));
+            names.push((random_text(&mut random, 4_000), "foreign".to_owned()));
         }
         expect_drain_behind("names of 4 KB", &names).await;
     });
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -27,6 +27,6 @@
 pub mod mapping;
 pub mod mirror;
 pub mod object;
+pub mod path;
 pub mod stats;
-pub mod target;
 pub mod watch;
--- a/crates/store/src/mapping.rs
+++ b/crates/store/src/mapping.rs
@@ -17,7 +17,7 @@
     era::{StoreEra, revision_of},
     errors::Result,
     object::{ChangeBatch, ObjectList, StoreObject, WriteResponse},
-    target::RequestTarget,
+    path::RequestPath,
 };
 use fighall_core::{ids::Version, value};
 use http::{HeaderMap, Method};
@@ -222,16 +222,16 @@
     /// Builds the HTTP request of the call.
     pub fn parts(&self) -> RequestParts {
         match self {
-            Self::Get { kind, name } => RequestParts::new(Method::GET, object_target(kind, name)),
-            Self::List { kind, .. } => RequestParts::new(Method::GET, kind_target(kind)),
+            Self::Get { kind, name } => RequestParts::new(Method::GET, object_path(kind, name)),
+            Self::List { kind, .. } => RequestParts::new(Method::GET, kind_path(kind)),
             Self::Watch { kind, after, wait } => {
-                let target = kind_target(kind)
+                let path = kind_path(kind)
                     .with_parameter("after", &revision_of(*after).to_string())
                     .with_parameter("wait_ms", &wait.as_millis().to_string());
-                RequestParts::new(Method::GET, target)
+                RequestParts::new(Method::GET, path)
             }
             Self::Create { kind, name, value } => {
-                RequestParts::new(Method::PUT, object_target(kind, name))
+                RequestParts::new(Method::PUT, object_path(kind, name))
                     .with_precondition("if-none-match", "*")
                     .with_body(value)
             }
@@ -240,33 +240,33 @@
                 name,
                 value,
                 expected,
-            } => RequestParts::new(Method::PUT, object_target(kind, name))
+            } => RequestParts::new(Method::PUT, object_path(kind, name))
                 .with_precondition("if-match", &revision_of(*expected).to_string())
                 .with_body(value),
             Self::Delete {
                 kind,
                 name,
                 expected,
-            } => RequestParts::new(Method::DELETE, object_target(kind, name))
+            } => RequestParts::new(Method::DELETE, object_path(kind, name))
                 .with_precondition("if-match", &revision_of(*expected).to_string()),
         }
     }
 }
 
-fn kind_target(kind: &str) -> RequestTarget {
-    RequestTarget::new("/v1").with_segment(kind)
+fn kind_path(kind: &str) -> RequestPath {
+    RequestPath::new("/v1").with_segment(kind)
 }
 
-fn object_target(kind: &str, name: &str) -> RequestTarget {
-    kind_target(kind).with_segment(name)
+fn object_path(kind: &str, name: &str) -> RequestPath {
+    kind_path(kind).with_segment(name)
 }
 
 impl RequestParts {
     /// Creates a request without precondition and body.
-    pub fn new(method: Method, target: RequestTarget) -> Self {
+    pub fn new(method: Method, path: RequestPath) -> Self {
         Self {
             method,
-            path_and_query: target.into_text(),
+            path_and_query: path.into_text(),
             precondition: None,
             body: String::new(),
         }
--- a/crates/store/src/target.rs
+++ b/crates/store/src/path.rs
@@ -1,4 +1,4 @@
-//! Request targets of calls: segments of the path and parameters of the query, percent-encoded.
+//! Paths and queries of calls, percent-encoded.
 
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 
@@ -9,30 +9,30 @@
     .remove(b'_')
     .remove(b'~');
 
-/// `RequestTarget` is the path and the query of a call.
+/// `RequestPath` is the path of a request with its query.
 ///
 /// ```
-/// use fighall_store::target::RequestTarget;
+/// use fighall_store::path::RequestPath;
 ///
-/// let target = RequestTarget::new("/v1").with_segment("hosts").with_parameter("after", "a&b");
-/// assert_eq!(target.into_text(), "/v1/hosts?after=a%26b");
+/// let path = RequestPath::new("/v1").with_segment("hosts").with_parameter("after", "a&b");
+/// assert_eq!(path.into_text(), "/v1/hosts?after=a%26b");
 /// ```
 #[derive(Clone, Debug, PartialEq)]
-pub struct RequestTarget {
+pub struct RequestPath {
     path: String,
     query: String,
 }
 
-impl RequestTarget {
-    /// Creates a target with a path that is used as it is.
-    pub fn new(path: &str) -> Self {
+impl RequestPath {
+    /// Creates a path that starts with `prefix`, which is not encoded.
+    pub fn new(prefix: &str) -> Self {
         Self {
-            path: path.to_owned(),
+            path: prefix.to_owned(),
             query: String::new(),
         }
     }
 
-    /// Adds a segment to the path.
+    /// Adds a segment.
     pub fn with_segment(mut self, segment: &str) -> Self {
         self.path.push('/');
         self.path.extend(utf8_percent_encode(segment, ENCODED));
@@ -49,7 +49,7 @@
         self
     }
 
-    /// Returns the path and the query as text.
+    /// Returns the path with its query.
     pub fn into_text(self) -> String {
         self.path + &self.query
     }
--- a/crates/testkit/tests/names.rs
+++ b/crates/testkit/tests/names.rs
@@ -7,7 +7,7 @@
 const KIND: &str = "hosts";
 
 #[test]
-fn an_object_with_an_odd_name_is_created_read_replaced_and_deleted() {
+fn an_object_with_reserved_characters_in_its_name_is_created_read_replaced_and_deleted() {
     let runtime = compio::runtime::Runtime::new().expect("the runtime should start");
     runtime.block_on(async {
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
--- a/crates/testkit/tests/store_answers.rs
+++ b/crates/testkit/tests/store_responses.rs
@@ -1,11 +1,11 @@
-//! Responses of the store whose status or field names HTTP does not allow.
+//! Responses of the store with a status or a field name that HTTP does not allow.
 
 use compio::{
     io::{AsyncRead, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
 use fighall_store::client::{ClientOptions, StoreClient};
-use fighall_testkit::odd_heads::{FIELD_LINES, STATUS_LINES};
+use fighall_testkit::malformed_heads::{FIELD_LINES, STATUS_LINES};
 use std::{cell::Cell, net::SocketAddr, rc::Rc};
 
 fn response(status_line: &str, line: &[u8], value: &str) -> Vec<u8> {
@@ -14,8 +14,8 @@
     [status_line.as_bytes(), b"\r\n", line, rest.as_bytes()].concat()
 }
 
-// Sends `odd` for every other request, and a proper response with the value `good` for the others.
-async fn serve(mut stream: TcpStream, odd: &[u8], calls: &Cell<u32>) -> std::io::Result<()> {
+// Sends `malformed` for every other request, and a proper response with the value `good` for the others.
+async fn serve(mut stream: TcpStream, malformed: &[u8], calls: &Cell<u32>) -> std::io::Result<()> {
     loop {
         let compio::BufResult(length, _) = stream.read(Vec::with_capacity(4_096)).await;
         if length? == 0 {
@@ -23,7 +23,7 @@
         }
         calls.set(calls.get() + 1);
         let response = if calls.get() % 2 == 1 {
-            odd.to_vec()
+            malformed.to_vec()
         } else {
             response("HTTP/1.1 200 OK", b"", "good")
         };
@@ -31,15 +31,15 @@
     }
 }
 
-async fn start_store(odd: Vec<u8>, calls: Rc<Cell<u32>>) -> SocketAddr {
+async fn start_store(malformed: Vec<u8>, calls: Rc<Cell<u32>>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await;
     let listener = listener.expect("the listener should be bound");
     let address = listener.local_addr().expect("the address should be known");
     compio::runtime::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let (odd, calls) = (odd.clone(), Rc::clone(&calls));
+            let (malformed, calls) = (malformed.clone(), Rc::clone(&calls));
             compio::runtime::spawn(async move {
-                let _ = serve(stream, &odd, &calls).await;
+                let _ = serve(stream, &malformed, &calls).await;
             })
             .detach();
         }
@@ -49,20 +49,20 @@
 }
 
 #[test]
-fn an_odd_status_or_field_name_of_the_store_is_no_answer() {
+fn a_malformed_head_of_the_store_is_no_answer() {
     let runtime = compio::runtime::Runtime::new().expect("the runtime should start");
     runtime.block_on(async {
         let mut responses = Vec::new();
         for line in STATUS_LINES {
-            responses.push(response(line, b"", "odd"));
+            responses.push(response(line, b"", "malformed"));
         }
         for line in FIELD_LINES {
-            responses.push(response("HTTP/1.1 200 OK", line, "odd"));
+            responses.push(response("HTTP/1.1 200 OK", line, "malformed"));
         }
-        for odd in responses {
-            let shown = odd.escape_ascii().to_string();
+        for malformed in responses {
+            let shown = malformed.escape_ascii().to_string();
             let calls = Rc::new(Cell::new(0));
-            let address = start_store(odd, Rc::clone(&calls)).await;
+            let address = start_store(malformed, Rc::clone(&calls)).await;
             let options = ClientOptions::with_address(address.to_string());
             let client = StoreClient::new(options).expect("the client should be created");
             for _ in 0..2 {
--- a/crates/tools/src/explain.rs
+++ b/crates/tools/src/explain.rs
@@ -7,7 +7,7 @@
 };
 use clap::{Arg, ArgMatches, Command};
 use fighall_entry::status::ExplainAnswer;
-use fighall_store::target::RequestTarget;
+use fighall_store::path::RequestPath;
 
 /// Creates the subcommand.
 pub fn command() -> Command {
@@ -42,7 +42,7 @@
         .cloned()
         .unwrap_or_default();
     let wanted = matches.get_one::<String>("host");
-    let target = RequestTarget::new("/explain")
+    let target = RequestPath::new("/explain")
         .with_parameter("service", &service)
         .with_parameter("organisation", &organisation)
         .into_text();
