--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,6 +5,7 @@
 //! watchers, watch the store all the time and forward its changes; the others watch it themselves when no
 //! store watcher is live or when they find that they have missed a change.
 
+mod call_log;
 mod eras;
 mod forwarding;
 mod freshness;
@@ -30,11 +31,10 @@
 use fighall_store::{
     client::StoreClient,
     era::StoreEra,
-    errors::Error as StoreError,
     watch::{KindWatch, WatchStep},
 };
 use futures_util::{FutureExt, pin_mut, select_biased};
-use slog::{Logger, info, warn};
+use slog::Logger;
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
@@ -68,9 +68,6 @@
 /// ends it early.
 const OTHER_KINDS_MAX_BACKOFF: Duration = Duration::from_secs(4);
 
-/// Number of findings of one response that are logged with their places.
-const MAX_LOGGED_FINDINGS: usize = 8;
-
 /// Kinds of objects that a gateway keeps copies of.
 pub const FOLLOWED_KINDS: [FollowedKind; 4] = [
     FollowedKind::Policy,
@@ -382,47 +379,4 @@
             FollowedKind::Hosts => HOSTS_DELAY,
         }
     }
-
-    // Logs and counts a step. Every call is billed, and hosts that rely on store watchers make few.
-    fn record_step(
-        &self,
-        kind: &str,
-        wait: Duration,
-        elapsed: Duration,
-        step: Option<&Result<WatchStep, StoreError>>,
-    ) {
-        let (label, outcome, objects) = match step {
-            None => ("restarted", "restarted".to_owned(), 0),
-            Some(Err(error)) => ("failed", format!("failed: {error}"), 0),
-            Some(Ok(WatchStep::Listed { list, .. })) => {
-                self.log_findings(kind, &list.findings);
-                ("answered", "listed".to_owned(), list.objects.len())
-            }
-            Some(Ok(WatchStep::Changed {
-                changes, findings, ..
-            })) => {
-                self.log_findings(kind, findings);
-                ("answered", "watched".to_owned(), changes.len())
-            }
-        };
-        let version = match step {
-            Some(Ok(WatchStep::Listed { list, .. })) => list.version,
-            Some(Ok(WatchStep::Changed { version, .. })) => *version,
-            _ => 0,
-        };
-        let labels = [kind, label];
-        self.metrics.watch_steps.with_label_values(&labels).inc();
-        info!(self.logger, "store call"; "kind" => kind, "outcome" => outcome, "objects" => objects,
-            "wait_ms" => wait.as_millis(), "held_ms" => elapsed.as_millis(), "store_version" => version);
-    }
-
-    // Logs what is wrong with a response of the store, in one line.
-    fn log_findings(&self, kind: &str, findings: &[String]) {
-        if findings.is_empty() {
-            return;
-        }
-        let shown = findings.len().min(MAX_LOGGED_FINDINGS);
-        warn!(self.logger, "store entries skipped"; "kind" => kind, "findings" => findings.len(),
-            "first" => findings[..shown].join("; "));
-    }
 }
--- a/crates/gateway/src/follow/forwarding.rs
+++ b/crates/gateway/src/follow/forwarding.rs
@@ -27,8 +27,8 @@
 
 impl StoreFollower {
     // Waits while store watchers forward changes to this host. It returns at once if nothing has been
-    // listed yet, the latest list was truncated or changes were missed. After the start it waits for the first heartbeats of the store
-    // watchers.
+    // listed yet, the latest list was truncated or changes were missed. After the start it waits for the
+    // first heartbeats of the store watchers.
     pub(super) async fn wait_while_store_watchers_forward(
         &self,
         kind: FollowedKind,
