store: a list continues behind a name that is no text

What callers saw: targets behind an entry whose name has an unpaired surrogate were not used if it stood alone on a page, since the page had no name to continue after. Cause: such a name, which JSON can hold, failed to decode as a text. Change: it is decoded with the surrogates replaced, names no target, and serves as the cursor. Conclusion: a page without any name at all is the one that still cannot be continued.

--- a/crates/store/src/entries.rs
+++ b/crates/store/src/entries.rs
@@ -1,12 +1,51 @@
 //! Decoding of a response whose entries are independent of each other: one that cannot be decoded leaves the others.
 
 use crate::errors::{Error, Result};
-use serde::{Deserialize, Deserializer, de::DeserializeOwned};
+use fighall_core::value;
+use serde::{
+    Deserialize, Deserializer,
+    de::{DeserializeOwned, Error as DecodeError, Visitor},
+};
 use serde_json::value::RawValue;
+use std::{borrow::Cow, fmt};
 
 /// Text of an entry that has not been decoded yet.
 pub type RawEntry = Box<RawValue>;
 
+value! {
+    /// `EntryName` is the name of an entry, which JSON may hold with unpaired surrogates.
+    pub struct EntryName {
+        /// The name, with unpaired surrogates replaced by [`char::REPLACEMENT_CHARACTER`].
+        pub text: String,
+        /// Whether nothing had to be replaced.
+        pub is_exact: bool,
+    }
+}
+
+impl<'de> Deserialize<'de> for EntryName {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> std::result::Result<Self, D::Error> {
+        deserializer.deserialize_bytes(NameVisitor)
+    }
+}
+
+struct NameVisitor;
+
+impl Visitor<'_> for NameVisitor {
+    type Value = EntryName;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a text")
+    }
+
+    fn visit_bytes<E: DecodeError>(self, bytes: &[u8]) -> std::result::Result<EntryName, E> {
+        let text = String::from_utf8_lossy(bytes);
+        Ok(EntryName {
+            is_exact: matches!(text, Cow::Borrowed(_)),
+            text: text.into_owned(),
+        })
+    }
+}
+
 /// Decodes a response. Bytes that are not allowed are replaced by [`char::REPLACEMENT_CHARACTER`], so that only the entry
 /// that contains them may fail to decode.
 ///
