store: a list continues behind a name that is listed twice

What callers saw: targets behind a page were not used if the last name on it had been listed before, for instance by an entry whose metadata name another one: the list counted as repeated and was truncated. Cause: progress was judged by the last name of a page instead of all. Change: a page with any new name continues the list, after the last new one. Conclusion: each page that continues the list adds a name, so that it still ends.

--- a/crates/store/src/client/lists.rs
+++ b/crates/store/src/client/lists.rs
@@ -32,7 +32,7 @@
         list.version = list.version.min(page.version);
         let mut has_advanced = false;
         for object in page.objects {
-            has_advanced = !self.positions.contains_key(&object.name);
+            has_advanced |= !self.positions.contains_key(&object.name);
             let next_position = list.objects.len();
             let position = self.positions.entry(object.name.clone());
             match list.objects.get_mut(*position.or_insert(next_position)) {
