--- a/crates/gateway/tests/endless_memory.rs
+++ b/crates/gateway/tests/endless_memory.rs
@@ -11,8 +11,6 @@
 use fighall_testkit::platform::PlatformStandIn;
 use std::{
     net::SocketAddr,
-    path::PathBuf,
-    process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
@@ -20,11 +18,9 @@
     },
     time::{Duration, Instant},
 };
-use support::KEY;
+use support::{KEY, process::GatewayProcess};
 
 const TARGET_SLOTS: u32 = 200;
-/// Time after which a process has copied the policy and the targets.
-const START_TIME: Duration = Duration::from_millis(2_500);
 const LOAD_TIME: Duration = Duration::from_secs(4);
 const WRITE_BYTES: usize = 8_192;
 /// Size of a field with which a head is still within its limit of 16 KiB.
@@ -124,25 +120,6 @@
     receiver.recv().expect("addresses")
 }
 
-// `GatewayProcess` ends the process on drop.
-struct GatewayProcess(Child);
-
-impl Drop for GatewayProcess {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-// Gets the largest resident memory of the process until now.
-fn peak_memory_kb(process: &GatewayProcess) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", process.0.id()));
-    let status = status.expect("a running process");
-    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-    let field = line.and_then(|line| line.split_whitespace().nth(1));
-    field.and_then(|text| text.parse().ok()).expect("a size")
-}
-
 // Sends a request on a connection of its own. Returns the start of the response; empty without one.
 async fn exchange(callers: SocketAddr, id: &str, path: &str) -> std::io::Result<String> {
     let mut stream = TcpStream::connect(callers).await?;
@@ -175,24 +152,6 @@
     store.put(POLICIES, MAIN_POLICY, &text);
 }
 
-// Starts a gateway process with `memory_mb`. Returns the address for its callers as well.
-async fn start_gateway(store: SocketAddr, memory_mb: usize) -> (GatewayProcess, SocketAddr) {
-    let (text, settings) = support::settings("h1", store, "");
-    let memory = format!("\"memory_mb\": {memory_mb}");
-    let text = text.replace("\"memory_mb\": 32", &memory);
-    let name = format!("endless_memory_{memory_mb}.json");
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::write(&path, text).expect("a settings file");
-    let child = Command::new(env!("CARGO_BIN_EXE_fighall-gateway"))
-        .arg(&path)
-        .stdout(Stdio::null())
-        .stderr(Stdio::null())
-        .spawn();
-    let process = GatewayProcess(child.expect("a process"));
-    compio::time::sleep(START_TIME).await;
-    (process, settings.callers)
-}
-
 // Sends requests one after the other until `end`. Returns the number of responses.
 async fn keep_calling(callers: SocketAddr, caller: usize, end: Instant) -> usize {
     let mut responses = 0;
@@ -216,8 +175,9 @@
     let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
     let store = PlatformStandIn::start(loopback, 1).await.expect("a store");
     publish(&store, &targets).await;
-    let (mut process, callers) = start_gateway(store.address(), memory_mb).await;
-    let idle_kb = peak_memory_kb(&process);
+    let mut process = GatewayProcess::start(store.address(), memory_mb, None).await;
+    let callers = process.settings.callers;
+    let idle_kb = process.peak_memory_kb();
 
     let end = Instant::now() + LOAD_TIME;
     let mut tasks = Vec::new();
@@ -228,9 +188,8 @@
     for task in tasks {
         responses += task.await.expect("a finished task");
     }
-    let state = process.0.try_wait().expect("a process state");
-    assert!(state.is_none(), "the process ended: {state:?}");
-    let peak_kb = peak_memory_kb(&process);
+    process.check_alive();
+    let peak_kb = process.peak_memory_kb();
     let sent_mb = sent.bytes.load(Ordering::Relaxed) >> 20;
     let connections = sent.most_connections.load(Ordering::Relaxed);
     println!(
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod process;
+
 use fighall_core::{clock::boot_time, log::discarding_logger};
 use fighall_gateway::{
     decision::OwnHost,
