gateway: one account of memory for connections, requests and responses

Callers saw their connections reset when the process was killed: it ran out of memory. Cause: prepare_request collected each body with a bound for one body and none for all, kept every frame with the read buffer that it lies in, and copied all frames once more. Connections and requests in progress counted nowhere. Change: MemoryBudget is three quarters of the process's memory. Connections, requests in progress, request bodies and responses reserve their bytes in it and release them on drop; responses are a share of it, as large as before. A body is copied into segments, which are sent without being joined. A body whose announced length exceeds the limit gets 413 before it is read. Large bodies leave an eighth free for connections and small requests. Without room, the connection that has been stalled longest in an incomplete request or an unread response is closed; if none is stalled, the request gets 503 with Retry-After and a closed connection. Nothing was sent for either. Why it works: no byte that a client sends is kept without a reservation, and a stalled client gives back what it holds. The digest of a request is unchanged, so hosts of both builds agree on it.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -26,6 +26,7 @@
 };
 use fighall_kernel::{kernel::MicroKernel, stage::LifeStage};
 use fighall_net::{
+    connections::{ConnectionTable, TableOptions},
     listener::{bind, serve},
     pool::ConnectionPool,
 };
@@ -215,9 +216,11 @@
         kernel.spawn_service(Rc::new(ProbeService::new(kernel)?).keep());
         kernel.spawn_service(accept_links(Rc::clone(&self.mesh), listeners.peers));
         let proxy = Rc::new(CallerProxy::new(kernel, pause)?);
+        let connections = ConnectionTable::new(TableOptions::default());
         let callers = serve(
             Rc::clone(kernel),
             listeners.callers,
+            Rc::clone(&connections),
             move || pause,
             move |request, remote| {
                 let proxy = Rc::clone(&proxy);
@@ -229,6 +232,7 @@
         let forwards = serve(
             Rc::clone(kernel),
             listeners.forwards,
+            Rc::clone(&connections),
             move || pause * 6,
             move |request, _| {
                 let forward = Rc::clone(&forward);
@@ -240,6 +244,7 @@
         let operators = serve(
             Rc::clone(kernel),
             listeners.operators,
+            connections,
             move || pause,
             move |request, _| {
                 let operator = Rc::clone(&operator);
--- a/crates/gateway/src/names.rs
+++ b/crates/gateway/src/names.rs
@@ -22,3 +22,5 @@
 pub const FOLLOWER: &str = "follower";
 /// [`fighall_core::ids::Incarnation`] of this process.
 pub const INCARNATION: &str = "incarnation";
+/// Table of the open connections of clients.
+pub(crate) const CONNECTIONS: &str = "connections";
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -17,6 +17,7 @@
     proxy::CallerProxy,
     reach_probe::ReachProber,
     reload::{SettingsFile, SettingsReload},
+    response_body::process_budget,
     reuse::DEFAULT_IDLE_LIMIT,
     rollout::RolloutTracker,
     rollout_log::log_rollouts,
@@ -37,6 +38,7 @@
 };
 use fighall_net::{
     body::ProxyBody,
+    connections::{ConnectionTable, TableOptions},
     listener::{bind, serve, serve_pipelined},
     pool::ConnectionPool,
 };
@@ -82,6 +84,7 @@
     router: Rc<RefCell<RequestRouter>>,
     policy: Rc<RefCell<PolicyCopy>>,
     pool: Rc<ConnectionPool>,
+    connections: Rc<ConnectionTable>,
     store: Rc<StoreClient>,
     follower: Rc<StoreFollower>,
     beat_service: Rc<BeatService>,
@@ -137,6 +140,7 @@
             router: kernel.find(names::ROUTER)?,
             policy: kernel.find(names::POLICY)?,
             pool: kernel.find(names::POOL)?,
+            connections: kernel.find(names::CONNECTIONS)?,
             store: kernel.find(names::STORE)?,
             metrics: kernel.find(names::METRICS)?,
             logger: kernel.find(names::LOGGER)?,
@@ -219,6 +223,7 @@
         let callers = serve_pipelined(
             Rc::clone(kernel),
             listeners.callers,
+            Rc::clone(&self.connections),
             move || {
                 let policy = policy.borrow().policy();
                 policy.map_or(CallerLimits::default().idle_timeout, |policy| {
@@ -237,6 +242,7 @@
             let server = serve(
                 Rc::clone(kernel),
                 listener,
+                Rc::clone(&self.connections),
                 || AUXILIARY_IDLE_TIMEOUT,
                 move |request, _| {
                     let gateway = Rc::clone(&gateway);
@@ -320,6 +326,7 @@
             compio::time::sleep(TICK_INTERVAL).await;
             let now = boot_time();
             self.pool.prune();
+            self.connections.mark_time();
             let policy = self.policy.borrow().policy();
             let Some(policy) = policy else {
                 continue;
@@ -376,6 +383,10 @@
         .with_source_address(Some(settings.callers.ip()))
         .with_idle_timeout(DEFAULT_IDLE_LIMIT)
         .with_surplus_observer(surplus_observer(&logger, &metrics));
+    let connections = ConnectionTable::new(TableOptions {
+        budget: process_budget(settings.memory_mb),
+    });
+    kernel.register(names::CONNECTIONS, connections)?;
     let status = SettingsStatus::new(&settings);
     kernel.register(names::SETTINGS_STATUS, Rc::new(Cell::new(status)))?;
     kernel.register(names::SETTINGS, Rc::new(settings))?;
--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -15,12 +15,13 @@
     policy_copy::PolicyCopy,
     request::{
         AdmittedRequest, AttemptRecord, RateToken, RefusalCause, RequestMatch, RequestRefusal,
-        RequestTrace, allowed_regions, deadline_of, prepare_request, unready_refusal,
+        RequestTrace, allowed_regions, deadline_of, no_memory_refusal, prepare_request,
+        unready_refusal,
     },
     response_body::ResponseBudget,
     reuse::IdleLimit,
     router::RequestRouter,
-    sender::{AttemptOutcome, BufferedResponse, PASSED_HEADER},
+    sender::{AttemptOutcome, BufferedResponse, PASSED_HEADER, PreparedRequest},
     settings::GatewaySettings,
     validation::promises_no_run,
 };
@@ -29,6 +30,8 @@
 use fighall_kernel::{errors::Result, kernel::MicroKernel, stage::LifeStage};
 use fighall_net::{
     body::{IncomingBody, ProxyBody},
+    connections::ConnectionTable,
+    memory::{ReservePriority, ReservedBytes},
     pipeline::RequestTurn,
     pool::ConnectionPool,
 };
@@ -44,6 +47,8 @@
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
 /// `Retry-After` of a request whose attempts failed before it ran.
 const FAILED_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Memory of a request in progress, with its connection to a target, in bytes.
+const REQUEST_BYTES: usize = 44 * 1_024;
 /// Callers' keep-alive connections for each megabyte of process memory. A connection takes about
 /// 50 KB with its buffers, so all of them together take a twentieth of the memory.
 const KEEP_ALIVE_PER_MB: usize = 1;
@@ -63,6 +68,7 @@
     // With more open connections than this, each is closed after its response.
     keep_alive_limit: usize,
     reuse_bound: RefCell<IdleLimit>,
+    connections: Rc<ConnectionTable>,
     response_budget: ResponseBudget,
     probed: ProbedTargets,
 }
@@ -81,11 +87,16 @@
     /// Returns an error when a required service is not registered.
     pub fn new(kernel: &Rc<MicroKernel>) -> Result<Self> {
         let settings: Rc<GatewaySettings> = kernel.find(names::SETTINGS)?;
+        let connections: Rc<ConnectionTable> = kernel.find(names::CONNECTIONS)?;
         Ok(Self {
             keep_alive_limit: settings.memory_mb * KEEP_ALIVE_PER_MB,
             reuse_bound: RefCell::new(IdleLimit::default()),
             probed: ProbedTargets::default(),
-            response_budget: ResponseBudget::new(settings.memory_mb),
+            response_budget: ResponseBudget::with_connections(
+                settings.memory_mb,
+                Rc::clone(&connections),
+            ),
+            connections,
             kernel: Rc::clone(kernel),
             dialect: kernel.find(names::DIALECT)?,
             router: kernel.find(names::ROUTER)?,
@@ -145,6 +156,10 @@
         &self,
         result: std::result::Result<BufferedResponse, RequestRefusal>,
     ) -> Response<ProxyBody> {
+        let leaves_body_unread = match &result {
+            Ok(_) => false,
+            Err(refusal) => refusal.cause.leaves_body_unread(),
+        };
         let mut response = match result {
             Ok(buffered) => {
                 let mut response = Response::new(ProxyBody::full(buffered.body));
@@ -163,7 +178,7 @@
         };
         let leaving = self.kernel.signal().stage() >= LifeStage::Announcing;
         let is_full = self.kernel.work_count() > self.keep_alive_limit;
-        if leaving || is_full || self.is_cut_off() {
+        if leaving || is_full || leaves_body_unread || self.is_cut_off() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
@@ -190,13 +205,16 @@
             turn.reached().await;
         }
         let organisation = self.find_organisation(&policy, &route, &metadata, arrived_at)?;
+        let mut reserved = ReservedBytes::new(self.connections.budget());
+        let has_memory = reserved.grow(REQUEST_BYTES, ReservePriority::High);
+        has_memory.map_err(|_| no_memory_refusal())?;
         if self.is_cut_off() {
             let deadline = deadline_of(arrived_at, &metadata, &route);
             let regions = allowed_regions(&route, organisation.as_ref());
             let hosts = self.hosts_to_pass_to(&request, &metadata, regions.as_deref(), deadline)?;
             if !hosts.is_empty() {
-                let max_body_bytes = policy.limits.max_body_bytes;
-                let prepared = prepare_request(request, &metadata, max_body_bytes).await?;
+                let prepared = self.read_request(request, &metadata, &policy);
+                let prepared = prepared.await?;
                 return self.pass(&prepared, hosts, deadline, trace).await;
             }
         }
@@ -219,7 +237,8 @@
             router: Rc::clone(&self.router),
             service: service.name.clone(),
         };
-        let prepared = prepare_request(request, &metadata, policy.limits.max_body_bytes).await?;
+        let prepared = self.read_request(request, &metadata, &policy);
+        let prepared = prepared.await?;
         let matched = RequestMatch {
             route,
             organisation,
@@ -229,6 +248,16 @@
         self.run_attempts(&admitted, trace).await
     }
 
+    async fn read_request(
+        &self,
+        request: Request<IncomingBody>,
+        metadata: &CallerMetadata,
+        policy: &TrafficPolicy,
+    ) -> std::result::Result<PreparedRequest, RequestRefusal> {
+        let max_body_bytes = policy.limits.max_body_bytes;
+        prepare_request(request, metadata, &self.connections, max_body_bytes).await
+    }
+
     fn log_rate_limited(&self, request: &str, organisation: &OrgPolicy) {
         let router = self.router.borrow();
         info!(self.logger, "beyond the rate";
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -14,9 +14,13 @@
     ids::{BootTime, RegionId, TargetId},
     tag,
 };
-use fighall_net::body::IncomingBody;
+use fighall_net::{
+    body::IncomingBody,
+    connections::ConnectionTable,
+    segments::{ReadError, SegmentedBody},
+};
 use http::{Request, StatusCode, header::HOST};
-use http_body_util::{BodyExt, Limited};
+use hyper::body::Body;
 use sha2::{Digest, Sha256};
 use std::{
     cell::{Cell, OnceCell, RefCell},
@@ -27,6 +31,10 @@
 /// `Retry-After` of a host that is not ready to serve.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// `Retry-After` of a host without memory for a request: the time after which bodies that make no progress have been
+/// given up.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// `Retry-After` of a host that reaches no target; another host may serve the request at once.
 const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -46,6 +54,8 @@
         TooLarge,
         /// The request body ended early or could not be read.
         Cut,
+        /// The process has no memory for the request; nothing was sent.
+        NoMemory,
         /// No target is eligible.
         NoTarget,
         /// The expected wait at the targets is too long.
@@ -73,6 +83,7 @@
             | Self::Busy
             | Self::CutOff
             | Self::Ending
+            | Self::NoMemory
             | Self::NotRun
             | Self::Crashing => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -84,6 +95,11 @@
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
+
+    /// Tells whether the rest of the request's body is not read, so that its connection cannot be used again.
+    pub(crate) fn leaves_body_unread(self) -> bool {
+        matches!(self, Self::TooLarge | Self::Cut | Self::NoMemory)
+    }
 }
 
 /// `RateToken` is the token that a request took from its organisation's rate limit. It is returned
@@ -187,15 +203,15 @@
 pub(crate) async fn prepare_request(
     request: Request<IncomingBody>,
     metadata: &CallerMetadata,
+    connections: &ConnectionTable,
     max_body_bytes: usize,
 ) -> std::result::Result<PreparedRequest, RequestRefusal> {
     let (parts, body) = request.into_parts();
-    let body = match Limited::new(body, max_body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(RequestRefusal::new(RefusalCause::TooLarge));
-        }
-        Err(_) => return Err(RequestRefusal::new(RefusalCause::Cut)),
+    let body = if body.is_end_stream() {
+        SegmentedBody::default()
+    } else {
+        let body = SegmentedBody::read_to_end(body, max_body_bytes, connections);
+        body.await.map_err(|error| body_refusal(&error))?
     };
     let path_and_query = parts.uri.path_and_query().cloned();
     Ok(PreparedRequest {
@@ -207,6 +223,18 @@
     })
 }
 
+fn body_refusal(error: &ReadError) -> RequestRefusal {
+    match error {
+        ReadError::Cut => RequestRefusal::new(RefusalCause::Cut),
+        ReadError::TooLarge { .. } => RequestRefusal::new(RefusalCause::TooLarge),
+        ReadError::NoMemory => no_memory_refusal(),
+    }
+}
+
+pub(crate) fn no_memory_refusal() -> RequestRefusal {
+    RequestRefusal::new(RefusalCause::NoMemory).with_retry_after(NO_MEMORY_RETRY_AFTER)
+}
+
 // Gets the deadline of a request: that of its caller or its route, whichever is earlier.
 pub(crate) fn deadline_of(
     arrived_at: BootTime,
@@ -261,13 +289,13 @@
             let organisation = self.organisation.as_ref();
             let host = self.prepared.headers.get(HOST);
             let path_and_query = self.prepared.path_and_query.as_str();
-            digest_of(&[
-                organisation.map_or(&[], |organisation| organisation.name.as_bytes()),
+            let head = [
+                organisation.map_or(&[][..], |organisation| organisation.name.as_bytes()),
                 self.prepared.method.as_str().as_bytes(),
                 host.map_or(&[], |host| host.as_bytes()),
                 path_and_query.as_bytes(),
-                &self.prepared.body,
-            ])
+            ];
+            digest_of(&head, &self.prepared.body)
         })
     }
 
@@ -347,13 +375,17 @@
     }
 }
 
-fn digest_of(parts: &[&[u8]]) -> RequestDigest {
+fn digest_of(head: &[&[u8]], body: &SegmentedBody) -> RequestDigest {
     let mut hasher = Sha256::new();
-    for part in parts {
-        let length = u64::try_from(part.len()).unwrap_or(u64::MAX);
-        hasher.update(length.to_be_bytes());
+    let length_bytes = |length: usize| u64::try_from(length).unwrap_or(u64::MAX).to_be_bytes();
+    for part in head {
+        hasher.update(length_bytes(part.len()));
         hasher.update(part);
     }
+    hasher.update(length_bytes(body.len()));
+    for segment in body.segments() {
+        hasher.update(segment);
+    }
     let hash = hasher.finalize();
     let word = |start: usize| {
         let mut word = 0;
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -4,21 +4,19 @@
 //! that many endless bodies take no more memory than one, and neither do many callers that read slowly.
 
 use bytes::Bytes;
+use fighall_net::{
+    connections::{ConnectionTable, TableOptions},
+    memory::{MemoryBudget, ReservedBytes},
+};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use snafu::Snafu;
-use std::{
-    io::ErrorKind,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-};
+use std::{io::ErrorKind, rc::Rc};
 
 /// Largest response body that is buffered, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
-/// Divisor of the process memory that gives the budget of response bodies.
-const MEMORY_DIVISOR: usize = 8;
+/// Divisor of the process memory that gives the share of response bodies.
+const RESPONSE_DIVISOR: usize = 8;
 
 /// `BodyError` is the reason for which a response body is not complete.
 #[derive(Debug, Snafu)]
@@ -39,17 +37,36 @@
     },
 }
 
-/// `ResponseBudget` limits the memory of all response bodies that are being read or delivered.
+/// Gets the budget of connections, requests and responses of a process that may use `memory_mb` MiB of memory. The rest
+/// is left to the process's own state and to the allocator.
+pub fn process_budget(memory_mb: usize) -> MemoryBudget {
+    MemoryBudget::new((memory_mb << 20) / 4 * 3)
+}
+
+/// `ResponseBudget` limits the memory of all response bodies that are being read or delivered. It is a share of the
+/// budget of the process.
 #[derive(Debug, Clone)]
 pub struct ResponseBudget {
-    available_bytes: Arc<AtomicUsize>,
+    budget: MemoryBudget,
+    connections: Rc<ConnectionTable>,
 }
 
 impl ResponseBudget {
-    /// Creates the budget of a process that may use `memory_mb` MiB of memory.
+    /// Creates the budget of a process that may use `memory_mb` MiB of memory and has no other connections.
     pub fn new(memory_mb: usize) -> Self {
+        let options = TableOptions {
+            budget: process_budget(memory_mb),
+            ..TableOptions::default()
+        };
+        Self::with_connections(memory_mb, ConnectionTable::new(options))
+    }
+
+    /// Creates the budget of a process that may use `memory_mb` MiB of memory, as a share of that of `connections`.
+    pub fn with_connections(memory_mb: usize, connections: Rc<ConnectionTable>) -> Self {
+        let share_bytes = (memory_mb << 20) / RESPONSE_DIVISOR;
         Self {
-            available_bytes: Arc::new(AtomicUsize::new((memory_mb << 20) / MEMORY_DIVISOR)),
+            budget: connections.budget().share(share_bytes),
+            connections,
         }
     }
 
@@ -61,10 +78,7 @@
     pub async fn read_to_end(&self, mut body: Incoming) -> Result<Bytes, BodyError> {
         let mut buffer = BudgetBuffer {
             bytes: Vec::new(),
-            reserved: ReservedBytes {
-                available_bytes: Arc::clone(&self.available_bytes),
-                bytes: 0,
-            },
+            reserved: ReservedBytes::new(&self.budget),
         };
         // Chunks are copied, since each small one would keep a whole read buffer alive.
         while let Some(frame) = body.frame().await {
@@ -75,7 +89,7 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            let is_appended = buffer.append(&data);
+            let is_appended = buffer.append(&data, &self.connections).await;
             is_appended.map_err(|cause| BodyError::TooLarge { cause })?;
         }
         Ok(Bytes::from_owner(buffer))
@@ -111,7 +125,7 @@
 }
 
 impl BudgetBuffer {
-    fn append(&mut self, data: &[u8]) -> Result<(), String> {
+    async fn append(&mut self, data: &[u8], connections: &ConnectionTable) -> Result<(), String> {
         let length = self.bytes.len() + data.len();
         if length > MAX_RESPONSE_BYTES {
             return Err(format!("response body exceeds {MAX_RESPONSE_BYTES} bytes"));
@@ -120,39 +134,12 @@
         if length > capacity {
             // While the bytes are copied, both buffers exist.
             let larger_capacity = length.max(capacity * 2).min(MAX_RESPONSE_BYTES);
-            self.reserved.reserve(larger_capacity)?;
+            let reserved = connections.reserve_body(&mut self.reserved, larger_capacity);
+            reserved.await.map_err(|error| error.to_string())?;
             self.bytes.reserve_exact(larger_capacity - self.bytes.len());
-            self.reserved.release(capacity);
+            self.reserved.shrink(capacity);
         }
         self.bytes.extend_from_slice(data);
         Ok(())
     }
 }
-
-// Bytes of the budget that one response body takes; returned on drop.
-struct ReservedBytes {
-    available_bytes: Arc<AtomicUsize>,
-    bytes: usize,
-}
-
-impl ReservedBytes {
-    fn reserve(&mut self, bytes: usize) -> Result<(), String> {
-        let subtract = |available_bytes: usize| available_bytes.checked_sub(bytes);
-        self.available_bytes
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract)
-            .map_err(|_| "response bodies exceed the memory budget")?;
-        self.bytes += bytes;
-        Ok(())
-    }
-
-    fn release(&mut self, bytes: usize) {
-        self.bytes -= bytes;
-        self.available_bytes.fetch_add(bytes, Ordering::Relaxed);
-    }
-}
-
-impl Drop for ReservedBytes {
-    fn drop(&mut self) {
-        self.release(self.bytes);
-    }
-}
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -14,6 +14,7 @@
     body::OutboundBody,
     headers::remove_hop_by_hop,
     pool::{ConnectError, ConnectionOptions, ConnectionPool, PooledConnection},
+    segments::SegmentedBody,
 };
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header::EXPECT,
@@ -46,7 +47,7 @@
         /// Headers, as the caller sent them.
         pub headers: HeaderMap,
         /// Complete body.
-        pub body: Bytes,
+        pub body: SegmentedBody,
     }
 }
 
@@ -272,7 +273,7 @@
 }
 
 fn build_request(request: &PreparedRequest) -> Request<OutboundBody> {
-    let mut message = Request::new(OutboundBody::full(request.body.clone()));
+    let mut message = Request::new(OutboundBody::segmented(request.body.clone()));
     *message.method_mut() = request.method.clone();
     *message.uri_mut() = request.path_and_query.clone().into();
     let headers = message.headers_mut();
--- a/crates/gateway/tests/misbehaving_clients.rs
+++ b/crates/gateway/tests/misbehaving_clients.rs
@@ -126,8 +126,8 @@
         compio::time::sleep(plan.pause).await;
     }
     stream.write_all(plan.last.clone()).await.0?;
-    while !plan.reads_response {
-        compio::time::sleep(RECONNECT_DELAY).await;
+    if !plan.reads_response {
+        std::future::pending::<()>().await;
     }
     loop {
         let BufResult(read, _) = stream.read(Vec::with_capacity(1_024)).await;
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,8 +1,9 @@
 //! Bodies that a host relays: the caller's request body to the target, and the target's response body.
 
+use crate::segments::{SegmentQueue, SegmentedBody};
 use bytes::Bytes;
 use futures_util::{FutureExt, future::LocalBoxFuture};
-use http_body_util::{Either, Empty, Full};
+use http_body_util::{Either, Empty};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use snafu::Snafu;
 use std::{
@@ -145,7 +146,7 @@
 #[derive(Debug)]
 pub enum RelayBody<B> {
     /// A body that is completely in memory.
-    Buffered(Full<Bytes>),
+    Buffered(SegmentQueue),
     /// A body that is streamed as it is received.
     Streamed(Box<B>),
     /// A body that is streamed at the rate available on a link.
@@ -169,7 +170,12 @@
 impl<B> RelayBody<B> {
     /// Creates a body from bytes in memory.
     pub fn full(bytes: Bytes) -> Self {
-        Self::Buffered(Full::new(bytes))
+        Self::segmented(bytes.into())
+    }
+
+    /// Creates a body from segments in memory.
+    pub fn segmented(body: SegmentedBody) -> Self {
+        Self::Buffered(SegmentQueue::new(body))
     }
 
     /// Creates a streamed body, limited to the rate of a link if `pace` is given.
@@ -193,9 +199,10 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            Self::Buffered(body) => Pin::new(body)
-                .poll_frame(cx)
-                .map_err(|error| match error {}),
+            Self::Buffered(queue) => {
+                let segment = queue.pop();
+                Poll::Ready(segment.map(|segment| segment.map(Frame::data)))
+            }
             Self::Streamed(body) => Pin::new(body.as_mut()).poll_frame(cx),
             Self::Paced(body) => Pin::new(body.as_mut()).poll_frame(cx),
         }
@@ -203,7 +210,7 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Buffered(body) => body.is_end_stream(),
+            Self::Buffered(queue) => queue.left_bytes() == 0,
             Self::Streamed(body) => body.is_end_stream(),
             Self::Paced(body) => body.is_end_stream(),
         }
@@ -211,7 +218,9 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Buffered(body) => body.size_hint(),
+            Self::Buffered(queue) => {
+                SizeHint::with_exact(u64::try_from(queue.left_bytes()).unwrap_or(u64::MAX))
+            }
             Self::Streamed(body) => body.size_hint(),
             Self::Paced(body) => body.size_hint(),
         }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,13 +6,17 @@
 pub mod body;
 pub mod carried;
 pub mod chunks;
+pub mod connections;
 pub mod errors;
 pub mod framing;
 pub mod headers;
 pub mod listener;
+pub mod memory;
 mod opener;
 pub mod pipeline;
 pub mod pool;
 mod reset;
+pub mod segments;
 pub mod socket;
 pub mod stream;
+mod tracked;
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -2,9 +2,11 @@
 
 use crate::{
     body::{IncomingBody, ProxyBody},
+    connections::{ConnectionPhase, ConnectionSlot, ConnectionTable, run_until_evicted},
     errors::{Error, Result},
     pipeline::{PipelinedStream, RequestPipeline, RequestTurn},
     stream::SocketStream,
+    tracked::TrackedStream,
 };
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::CompioTimer;
@@ -19,6 +21,7 @@
     service::{HttpService, service_fn},
 };
 use std::{
+    cell::Cell,
     convert::Infallible,
     future::{Future, ready},
     net::{IpAddr, SocketAddr},
@@ -43,30 +46,47 @@
     listener.map_err(|source| Error::Listen { address, source })
 }
 
-/// Serves the connections of a listener until the process refuses new ones. `head_timeout` returns the
-/// longest time to wait for a request's head on a new connection, which also limits the time between
-/// requests.
+/// Serves the connections of a listener until the process refuses new ones. Each one has a place in `connections`.
+/// `head_timeout` returns the longest time to wait for a request's head on a new connection, which also limits the time
+/// between requests.
 pub async fn serve<H, F>(
     kernel: Rc<MicroKernel>,
     listener: TcpListener,
+    connections: Rc<ConnectionTable>,
     head_timeout: impl Fn() -> Duration,
     handler: H,
 ) where
     H: Fn(Request<Incoming>, IpAddr) -> F + Clone + 'static,
     F: Future<Output = Response<ProxyBody>> + 'static,
 {
-    let serve_stream = |kernel: Rc<MicroKernel>, stream, remote: SocketAddr| {
+    let serve_stream = |kernel: Rc<MicroKernel>, accepted: AcceptedConnection| {
         let (head_timeout, handler) = (head_timeout(), handler.clone());
         async move {
+            let is_serving = Rc::new(Cell::new(false));
+            accepted.slot.connection().set_phase({
+                let is_serving = Rc::clone(&is_serving);
+                move || match is_serving.get() {
+                    true => ConnectionPhase::Serving,
+                    false => ConnectionPhase::Idle,
+                }
+            });
+            let remote = accepted.remote.ip();
             let service = service_fn(|request| {
-                let response = handler(request, remote.ip());
-                async move { Ok::<_, Infallible>(response.await) }
+                is_serving.set(true);
+                let (response, is_serving) = (handler(request, remote), Rc::clone(&is_serving));
+                async move {
+                    let response = response.await;
+                    is_serving.set(false);
+                    Ok::<_, Infallible>(response)
+                }
             });
-            let connection = http_builder(head_timeout).serve_connection(stream, service);
-            drive_connection(&kernel, connection, ready(())).await;
+            let builder = http_builder(head_timeout);
+            let connection = builder.serve_connection(accepted.stream, service);
+            let driven = drive_connection(&kernel, connection, ready(()));
+            run_until_evicted(accepted.slot, driven).await;
         }
     };
-    accept(kernel, listener, serve_stream).await;
+    accept(kernel, listener, connections, serve_stream).await;
 }
 
 /// Serves callers' connections like [`serve`], and runs pipelined requests with a safe method
@@ -74,22 +94,23 @@
 pub async fn serve_pipelined<H, F>(
     kernel: Rc<MicroKernel>,
     listener: TcpListener,
+    connections: Rc<ConnectionTable>,
     head_timeout: impl Fn() -> Duration,
     handler: H,
 ) where
     H: Fn(Request<IncomingBody>, RequestTurn) -> F + Clone + 'static,
     F: Future<Output = Response<ProxyBody>> + 'static,
 {
-    let serve_stream = |kernel: Rc<MicroKernel>, stream, _| {
+    let serve_stream = |kernel: Rc<MicroKernel>, accepted| {
         let (head_timeout, handler) = (head_timeout(), handler.clone());
-        async move { serve_connection(&kernel, stream, head_timeout, handler).await }
+        async move { serve_connection(&kernel, accepted, head_timeout, handler).await }
     };
-    accept(kernel, listener, serve_stream).await;
+    accept(kernel, listener, connections, serve_stream).await;
 }
 
 async fn serve_connection<H, F>(
     kernel: &MicroKernel,
-    stream: SocketStream,
+    accepted: AcceptedConnection,
     head_timeout: Duration,
     handler: H,
 ) where
@@ -102,7 +123,11 @@
         early_handler(request, turn).boxed_local()
     };
     let pipeline = Rc::new(RequestPipeline::new(Box::new(start_early)));
-    let stream = PipelinedStream::new(stream, Rc::clone(&pipeline));
+    accepted.slot.connection().set_phase({
+        let pipeline = Rc::clone(&pipeline);
+        move || pipeline.phase()
+    });
+    let stream = PipelinedStream::new(accepted.stream, Rc::clone(&pipeline));
     let service = service_fn(|request: Request<Incoming>| {
         let pipeline = Rc::clone(&pipeline);
         let handler = &handler;
@@ -117,13 +142,22 @@
         }
     });
     let connection = http_builder(head_timeout).serve_connection(stream, service);
-    drive_connection(kernel, connection, pipeline.drain()).await;
+    let driven = drive_connection(kernel, connection, pipeline.drain());
+    run_until_evicted(accepted.slot, driven).await;
+}
+
+// A new connection with its place in the table.
+struct AcceptedConnection {
+    stream: TrackedStream,
+    remote: SocketAddr,
+    slot: ConnectionSlot,
 }
 
 async fn accept<F>(
     kernel: Rc<MicroKernel>,
     listener: TcpListener,
-    serve_stream: impl Fn(Rc<MicroKernel>, SocketStream, SocketAddr) -> F,
+    connections: Rc<ConnectionTable>,
+    serve_stream: impl Fn(Rc<MicroKernel>, AcceptedConnection) -> F,
 ) where
     F: Future<Output = ()> + 'static,
 {
@@ -145,7 +179,16 @@
         let Ok(stream) = configure_stream(stream) else {
             continue;
         };
-        kernel.spawn_work(serve_stream(Rc::clone(&kernel), stream, remote));
+        let Some(slot) = connections.admit().await else {
+            continue;
+        };
+        let stream = TrackedStream::new(stream, Rc::clone(slot.connection()));
+        let accepted = AcceptedConnection {
+            stream,
+            remote,
+            slot,
+        };
+        kernel.spawn_work(serve_stream(Rc::clone(&kernel), accepted));
     }
 }
 
--- a/crates/net/src/pipeline.rs
+++ b/crates/net/src/pipeline.rs
@@ -4,8 +4,10 @@
 use crate::{
     body::ProxyBody,
     chunks::{ChunkScanner, ScanResult},
+    connections::ConnectionPhase,
     framing::{FrameResult, RequestFrame, parse_frame, parse_head},
-    stream::{READ_SIZE, SocketStream},
+    stream::READ_SIZE,
+    tracked::TrackedStream,
 };
 use compio::runtime::JoinHandle;
 use event_listener::Event;
@@ -124,6 +126,18 @@
         }
     }
 
+    /// Gets what the connection waits for.
+    pub fn phase(&self) -> ConnectionPhase {
+        let state = self.state.borrow();
+        if state.has_early_response() || state.awaits_response && state.has_complete_request() {
+            ConnectionPhase::Serving
+        } else if state.awaits_response || !state.buffer.is_empty() {
+            ConnectionPhase::Receiving
+        } else {
+            ConnectionPhase::Idle
+        }
+    }
+
     /// Gets the turn of the current request.
     pub fn turn(&self) -> RequestTurn {
         self.turn_at(self.response_count.answered.get())
@@ -236,6 +250,13 @@
         self.stopping && first.is_some_and(|request| request.response.is_none())
     }
 
+    // Whether all bytes of the current request were received.
+    fn has_complete_request(&self) -> bool {
+        let buffered_bytes = u64::try_from(self.buffer.len()).unwrap_or(u64::MAX);
+        let is_scanned = self.scanner.is_none() || !self.requests.is_empty();
+        is_scanned && self.remaining_bytes <= buffered_bytes
+    }
+
     fn frame_requests(&mut self) {
         while !self.unframed {
             let framed_bytes = usize::try_from(self.framed_bytes).unwrap_or(usize::MAX);
@@ -319,7 +340,7 @@
 
 /// `PipelinedStream` is a caller's connection that hands its requests to hyper one at a time.
 pub struct PipelinedStream {
-    stream: SocketStream,
+    stream: TrackedStream,
     pipeline: Rc<RequestPipeline>,
     close_check: Option<LocalBoxFuture<'static, ()>>,
 }
@@ -335,7 +356,7 @@
 
 impl PipelinedStream {
     /// Wraps a connection; `pipeline` must not be shared with another one.
-    pub fn new(stream: SocketStream, pipeline: Rc<RequestPipeline>) -> Self {
+    pub(crate) fn new(stream: TrackedStream, pipeline: Rc<RequestPipeline>) -> Self {
         Self {
             stream,
             pipeline,
--- a/crates/net/tests/pipeline.rs
+++ b/crates/net/tests/pipeline.rs
@@ -11,6 +11,7 @@
 use fighall_kernel::{kernel::MicroKernel, stage::LifeStage};
 use fighall_net::{
     body::{IncomingBody, ProxyBody},
+    connections::{ConnectionTable, TableOptions},
     listener::serve_pipelined,
     pipeline::RequestTurn,
 };
@@ -91,8 +92,15 @@
             async move { host.answer(request, turn).await }
         }
     };
+    let connections = ConnectionTable::new(TableOptions::default());
     let head_timeout = || Duration::from_secs(5);
-    let server = serve_pipelined(Rc::clone(&kernel), listener, head_timeout, handler);
+    let server = serve_pipelined(
+        Rc::clone(&kernel),
+        listener,
+        connections,
+        head_timeout,
+        handler,
+    );
     kernel.spawn_service(server);
     (host, kernel, address)
 }
