net: the policy limits the size and the time of a request's head

Callers saw their connections reset when the process was killed: unfinished heads alone took it over its memory. Cause: each connection kept up to 64 KiB of an unfinished head for the idle time-out of 15 s. Change: the policy has head_bytes (16 KiB by default) and head_ms (3 s by default); the platform's are read. A head beyond its size gets 431, and a connection whose head takes longer is closed. 4 KiB are added for the request line. The other listeners have the same limits by default, also those of entry hosts, where they were 64 KiB. Policies of hosts without the two fields are read with the defaults, and such hosts ignore the fields. Why it works: a connection keeps no more of a head than the limit, and only for its time. A head of 15.8 KB in two parts 1.5 s apart is served (new test).

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -27,7 +27,7 @@
 use fighall_kernel::{kernel::MicroKernel, stage::LifeStage};
 use fighall_net::{
     connections::{ConnectionTable, TableOptions},
-    listener::{bind, serve},
+    listener::{ListenerLimits, bind, serve},
     pool::ConnectionPool,
 };
 use fighall_peer::{
@@ -217,11 +217,17 @@
         kernel.spawn_service(accept_links(Rc::clone(&self.mesh), listeners.peers));
         let proxy = Rc::new(CallerProxy::new(kernel, pause)?);
         let connections = ConnectionTable::new(TableOptions::default());
+        let limits = |idle_timeout: Duration| {
+            move || ListenerLimits {
+                idle_timeout,
+                ..ListenerLimits::default()
+            }
+        };
         let callers = serve(
             Rc::clone(kernel),
             listeners.callers,
             Rc::clone(&connections),
-            move || pause,
+            limits(pause),
             move |request, remote| {
                 let proxy = Rc::clone(&proxy);
                 async move { proxy.serve(request, remote).await }
@@ -233,7 +239,7 @@
             Rc::clone(kernel),
             listeners.forwards,
             Rc::clone(&connections),
-            move || pause * 6,
+            limits(pause * 6),
             move |request, _| {
                 let forward = Rc::clone(&forward);
                 async move { forward.serve(request).await }
@@ -245,7 +251,7 @@
             Rc::clone(kernel),
             listeners.operators,
             connections,
-            move || pause,
+            limits(pause),
             move |request, _| {
                 let operator = Rc::clone(&operator);
                 async move { operator.serve(request).await }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -39,7 +39,7 @@
 use fighall_net::{
     body::ProxyBody,
     connections::{ConnectionTable, TableOptions},
-    listener::{bind, serve, serve_pipelined},
+    listener::{ListenerLimits, bind, serve, serve_pipelined},
     pool::ConnectionPool,
 };
 use fighall_store::client::{ClientOptions, StoreClient};
@@ -66,6 +66,8 @@
 /// Timeout for deleting the host's entry from the store at shutdown.
 const UNREGISTER_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Bytes of a head beyond the limit on its fields, for the request line.
+const REQUEST_LINE_ALLOWANCE: usize = 4 * 1_024;
 /// Idle timeout of connections to the readiness, look-up and metrics listeners: several polling intervals.
 const AUXILIARY_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -226,9 +228,9 @@
             Rc::clone(&self.connections),
             move || {
                 let policy = policy.borrow().policy();
-                policy.map_or(CallerLimits::default().idle_timeout, |policy| {
-                    policy.limits.idle_timeout
-                })
+                let limits =
+                    policy.map_or_else(CallerLimits::default, |policy| policy.limits.clone());
+                listener_limits(&limits)
             },
             move |request, turn| {
                 let proxy = Rc::clone(&proxy);
@@ -243,7 +245,10 @@
                 Rc::clone(kernel),
                 listener,
                 Rc::clone(&self.connections),
-                || AUXILIARY_IDLE_TIMEOUT,
+                || ListenerLimits {
+                    idle_timeout: AUXILIARY_IDLE_TIMEOUT,
+                    ..ListenerLimits::default()
+                },
                 move |request, _| {
                     let gateway = Rc::clone(&gateway);
                     async move { gateway.handle_auxiliary(&request) }
@@ -415,6 +420,14 @@
     }
 }
 
+fn listener_limits(limits: &CallerLimits) -> ListenerLimits {
+    ListenerLimits {
+        max_head_bytes: limits.max_head_bytes + REQUEST_LINE_ALLOWANCE,
+        head_timeout: limits.head_timeout,
+        idle_timeout: limits.idle_timeout,
+    }
+}
+
 fn build_response(
     status: StatusCode,
     body: String,
--- a/crates/gateway/src/policy.rs
+++ b/crates/gateway/src/policy.rs
@@ -7,6 +7,11 @@
 };
 use std::{collections::BTreeMap, time::Duration};
 
+/// Maximum size of a request's header fields without a configured one, in bytes.
+const DEFAULT_HEAD_BYTES: usize = 16 * 1_024;
+/// Longest time for a request's head without a configured one.
+const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+
 message! {
     /// `SplitPart` is a service that gets a share of a route's requests.
     pub struct SplitPart {
@@ -92,14 +97,30 @@
         /// Idle timeout of keep-alive connections.
         #[serde(rename = "idle_ms", with = "millis")]
         pub idle_timeout: Duration,
+        /// Maximum size of a request's header fields in bytes.
+        #[serde(rename = "head_bytes", default = "default_head_bytes")]
+        pub max_head_bytes: usize,
+        /// Longest time from the first to the last byte of a request's head.
+        #[serde(rename = "head_ms", with = "millis", default = "default_head_timeout")]
+        pub head_timeout: Duration,
     }
 }
 
+fn default_head_bytes() -> usize {
+    DEFAULT_HEAD_BYTES
+}
+
+fn default_head_timeout() -> Duration {
+    DEFAULT_HEAD_TIMEOUT
+}
+
 impl Default for CallerLimits {
     fn default() -> Self {
         Self {
             max_body_bytes: 1 << 20,
             idle_timeout: Duration::from_secs(15),
+            max_head_bytes: DEFAULT_HEAD_BYTES,
+            head_timeout: DEFAULT_HEAD_TIMEOUT,
         }
     }
 }
--- a/crates/gateway/tests/misbehaving_clients.rs
+++ b/crates/gateway/tests/misbehaving_clients.rs
@@ -551,3 +551,15 @@
         .with_last(b"b".to_vec());
     run_single(plan, BODY_LIMIT);
 }
+
+// Sends a head of nearly the limit in two parts.
+#[test]
+fn a_single_large_slow_head_is_served() {
+    let field = format!("connection: close\r\nx-long: {}", "a".repeat(15_800));
+    let head = post_head("head", &format!("{field}\r\ncontent-length: 1"));
+    let (first, last) = head.split_at(100);
+    let plan = ClientPlan::new(first.to_owned())
+        .with_pieces(Vec::new(), 1, Duration::from_millis(1_500))
+        .with_last(format!("{last}a").into_bytes());
+    run_single(plan, BODY_LIMIT);
+}
--- a/crates/net/src/framing.rs
+++ b/crates/net/src/framing.rs
@@ -1,7 +1,7 @@
 //! Framing of pipelined requests: finds where each request ends in the bytes of a connection (RFC 9112,
 //! section 6).
 
-use crate::listener::{MAX_HEAD_BYTES, MAX_HEADERS};
+use crate::listener::MAX_HEADERS;
 use http::{
     HeaderName, HeaderValue, Method, Request, Version,
     header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING, UPGRADE},
@@ -50,15 +50,15 @@
     }
 }
 
-/// Parses the head at the start of `bytes` and determines where its request ends.
-pub fn parse_frame(bytes: &[u8]) -> FrameResult {
+/// Parses the head at the start of `bytes`, of at most `max_head_bytes`, and determines where its request ends.
+pub fn parse_frame(bytes: &[u8], max_head_bytes: usize) -> FrameResult {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Request::new(&mut headers);
     match parsed.parse(bytes) {
         Ok(Status::Complete(length)) => {
             determine_frame(&parsed, length).map_or(FrameResult::Unframed, FrameResult::Complete)
         }
-        Ok(Status::Partial) if bytes.len() < MAX_HEAD_BYTES => FrameResult::Partial,
+        Ok(Status::Partial) if bytes.len() < max_head_bytes => FrameResult::Partial,
         Ok(Status::Partial) | Err(_) => FrameResult::Unframed,
     }
 }
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -4,7 +4,7 @@
     body::{IncomingBody, ProxyBody},
     connections::{ConnectionPhase, ConnectionSlot, ConnectionTable, run_until_evicted},
     errors::{Error, Result},
-    pipeline::{PipelinedStream, RequestPipeline, RequestTurn},
+    pipeline::{HeadLimits, PipelinedStream, RequestPipeline, RequestTurn},
     stream::SocketStream,
     tracked::TrackedStream,
 };
@@ -33,8 +33,38 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Largest number of headers in a request.
 pub const MAX_HEADERS: usize = 100;
-/// Largest head of a request, in bytes.
-pub const MAX_HEAD_BYTES: usize = 64 * 1_024;
+/// Smallest limit on heads that the HTTP library supports, in bytes.
+const MIN_HEAD_BYTES: usize = 8 * 1_024;
+
+/// `ListenerLimits` are limits on the clients of a listener.
+#[derive(Debug, Clone, Copy)]
+pub struct ListenerLimits {
+    /// Largest head of a request, in bytes.
+    pub max_head_bytes: usize,
+    /// Longest time from the first to the last byte of a head.
+    pub head_timeout: Duration,
+    /// Longest time to wait for a request.
+    pub idle_timeout: Duration,
+}
+
+impl Default for ListenerLimits {
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 20 * 1_024,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+impl ListenerLimits {
+    fn head_limits(&self) -> HeadLimits {
+        HeadLimits {
+            max_bytes: self.max_head_bytes.max(MIN_HEAD_BYTES),
+            timeout: self.head_timeout,
+        }
+    }
+}
 
 /// Binds a listening socket.
 ///
@@ -47,20 +77,20 @@
 }
 
 /// Serves the connections of a listener until the process refuses new ones. Each one has a place in `connections`.
-/// `head_timeout` returns the longest time to wait for a request's head on a new connection, which also limits the time
-/// between requests.
+/// `limits` is called for each new connection; its limit on the time of a head also covers the time between requests
+/// here.
 pub async fn serve<H, F>(
     kernel: Rc<MicroKernel>,
     listener: TcpListener,
     connections: Rc<ConnectionTable>,
-    head_timeout: impl Fn() -> Duration,
+    limits: impl Fn() -> ListenerLimits,
     handler: H,
 ) where
     H: Fn(Request<Incoming>, IpAddr) -> F + Clone + 'static,
     F: Future<Output = Response<ProxyBody>> + 'static,
 {
     let serve_stream = |kernel: Rc<MicroKernel>, accepted: AcceptedConnection| {
-        let (head_timeout, handler) = (head_timeout(), handler.clone());
+        let (limits, handler) = (limits(), handler.clone());
         async move {
             let is_serving = Rc::new(Cell::new(false));
             accepted.slot.connection().set_phase({
@@ -80,7 +110,7 @@
                     Ok::<_, Infallible>(response)
                 }
             });
-            let builder = http_builder(head_timeout);
+            let builder = http_builder(&limits);
             let connection = builder.serve_connection(accepted.stream, service);
             let driven = drive_connection(&kernel, connection, ready(()));
             run_until_evicted(accepted.slot, driven).await;
@@ -95,15 +125,15 @@
     kernel: Rc<MicroKernel>,
     listener: TcpListener,
     connections: Rc<ConnectionTable>,
-    head_timeout: impl Fn() -> Duration,
+    limits: impl Fn() -> ListenerLimits,
     handler: H,
 ) where
     H: Fn(Request<IncomingBody>, RequestTurn) -> F + Clone + 'static,
     F: Future<Output = Response<ProxyBody>> + 'static,
 {
     let serve_stream = |kernel: Rc<MicroKernel>, accepted| {
-        let (head_timeout, handler) = (head_timeout(), handler.clone());
-        async move { serve_connection(&kernel, accepted, head_timeout, handler).await }
+        let (limits, handler) = (limits(), handler.clone());
+        async move { serve_connection(&kernel, accepted, limits, handler).await }
     };
     accept(kernel, listener, connections, serve_stream).await;
 }
@@ -111,7 +141,7 @@
 async fn serve_connection<H, F>(
     kernel: &MicroKernel,
     accepted: AcceptedConnection,
-    head_timeout: Duration,
+    limits: ListenerLimits,
     handler: H,
 ) where
     H: Fn(Request<IncomingBody>, RequestTurn) -> F + Clone + 'static,
@@ -122,7 +152,8 @@
         let request = Request::from_parts(parts, IncomingBody::Right(Empty::new()));
         early_handler(request, turn).boxed_local()
     };
-    let pipeline = Rc::new(RequestPipeline::new(Box::new(start_early)));
+    let pipeline = RequestPipeline::new(Box::new(start_early), limits.head_limits());
+    let pipeline = Rc::new(pipeline);
     accepted.slot.connection().set_phase({
         let pipeline = Rc::clone(&pipeline);
         move || pipeline.phase()
@@ -141,7 +172,7 @@
             Ok::<_, Error>(response)
         }
     });
-    let connection = http_builder(head_timeout).serve_connection(stream, service);
+    let connection = http_builder(&limits).serve_connection(stream, service);
     let driven = drive_connection(kernel, connection, pipeline.drain());
     run_until_evicted(accepted.slot, driven).await;
 }
@@ -197,13 +228,13 @@
     SocketStream::new(stream)
 }
 
-fn http_builder(head_timeout: Duration) -> http1::Builder {
+fn http_builder(limits: &ListenerLimits) -> http1::Builder {
     let mut http_builder = http1::Builder::new();
     http_builder
         .timer(CompioTimer)
-        .header_read_timeout(head_timeout)
+        .header_read_timeout(limits.idle_timeout)
         .max_headers(MAX_HEADERS)
-        .max_buf_size(MAX_HEAD_BYTES);
+        .max_buf_size(limits.head_limits().max_bytes);
     http_builder
 }
 
--- a/crates/net/src/pipeline.rs
+++ b/crates/net/src/pipeline.rs
@@ -17,7 +17,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::VecDeque,
-    io::{IoSlice, Result},
+    io::{Error, ErrorKind, IoSlice, Result},
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
@@ -26,8 +26,8 @@
 
 /// Largest number of requests on one connection that run concurrently with the first one.
 const MAX_CONCURRENT: usize = 16;
-/// Largest number of bytes to read ahead while a request is being served.
-const MAX_READ_AHEAD_BYTES: usize = 64 * 1_024;
+/// Number of bytes to read ahead while a request is being served, after which the connection is not read.
+const READ_AHEAD_BYTES: usize = 64 * 1_024;
 /// Interval at which a connection with that many bytes is checked for its end, which reading would not show.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -79,6 +79,15 @@
     }
 }
 
+/// `HeadLimits` are the limits on the head of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct HeadLimits {
+    /// Largest head in bytes.
+    pub max_bytes: usize,
+    /// Longest time from the first to the last byte of a head.
+    pub timeout: Duration,
+}
+
 #[derive(Debug, Default)]
 struct PipelineState {
     // Bytes that were read and are not yet handed to hyper.
@@ -105,6 +114,7 @@
     state: RefCell<PipelineState>,
     response_count: Rc<ResponseCount>,
     handler: EarlyHandler,
+    head_limits: HeadLimits,
 }
 
 impl std::fmt::Debug for RequestPipeline {
@@ -118,11 +128,12 @@
 impl RequestPipeline {
     /// Creates the pipeline of a new connection; `handler` handles requests that start ahead of their
     /// turn.
-    pub fn new(handler: EarlyHandler) -> Self {
+    pub fn new(handler: EarlyHandler, head_limits: HeadLimits) -> Self {
         Self {
             state: RefCell::new(PipelineState::default()),
             response_count: Rc::new(ResponseCount::default()),
             handler,
+            head_limits,
         }
     }
 
@@ -138,6 +149,14 @@
         }
     }
 
+    // Whether a head has begun whose request is the next one to be served.
+    fn awaits_head(&self) -> bool {
+        let state = self.state.borrow();
+        let is_between = !state.awaits_response && state.remaining_bytes == 0;
+        let is_framed = state.requests.is_empty() && !state.unframed;
+        is_between && is_framed && !state.buffer.is_empty()
+    }
+
     /// Gets the turn of the current request.
     pub fn turn(&self) -> RequestTurn {
         self.turn_at(self.response_count.answered.get())
@@ -186,7 +205,7 @@
     fn append(&self, bytes: &[u8]) {
         let mut state = self.state.borrow_mut();
         state.buffer.extend_from_slice(bytes);
-        state.frame_requests();
+        state.frame_requests(self.head_limits.max_bytes);
     }
 
     fn start_early(&self) {
@@ -224,7 +243,13 @@
     }
 
     fn is_full(&self) -> bool {
-        self.state.borrow().buffer.len() >= MAX_READ_AHEAD_BYTES
+        let state = self.state.borrow();
+        let max_bytes = if state.awaits_response {
+            READ_AHEAD_BYTES
+        } else {
+            self.head_limits.max_bytes
+        };
+        state.buffer.len() >= max_bytes
     }
 
     // At the end of the stream, hyper gets the incomplete head that is left.
@@ -257,7 +282,7 @@
         is_scanned && self.remaining_bytes <= buffered_bytes
     }
 
-    fn frame_requests(&mut self) {
+    fn frame_requests(&mut self, max_head_bytes: usize) {
         while !self.unframed {
             let framed_bytes = usize::try_from(self.framed_bytes).unwrap_or(usize::MAX);
             let Some(bytes) = self
@@ -281,7 +306,7 @@
                 self.extend_last_request(length);
                 continue;
             }
-            match parse_frame(bytes) {
+            match parse_frame(bytes, max_head_bytes) {
                 FrameResult::Partial => return,
                 FrameResult::Unframed => self.unframed = true,
                 FrameResult::Complete(frame) => {
@@ -343,6 +368,7 @@
     stream: TrackedStream,
     pipeline: Rc<RequestPipeline>,
     close_check: Option<LocalBoxFuture<'static, ()>>,
+    head_timer: Option<LocalBoxFuture<'static, ()>>,
 }
 
 impl std::fmt::Debug for PipelinedStream {
@@ -361,7 +387,22 @@
             stream,
             pipeline,
             close_check: None,
+            head_timer: None,
+        }
+    }
+
+    // Fails once a head has taken too long.
+    fn poll_head_timeout(&mut self, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        if !self.pipeline.awaits_head() {
+            self.head_timer = None;
+            return Poll::Pending;
         }
+        let timeout = self.pipeline.head_limits.timeout;
+        let timer = self
+            .head_timer
+            .get_or_insert_with(|| compio::time::sleep(timeout).boxed_local());
+        ready!(timer.poll_unpin(cx));
+        Poll::Ready(Err(Error::from(ErrorKind::TimedOut)))
     }
 
     // Completes once the caller has closed a connection that is not read.
@@ -388,6 +429,7 @@
             let copied = pipeline.read_into(&mut cursor);
             pipeline.start_early();
             if copied > 0 {
+                self.head_timer = None;
                 return Poll::Ready(Ok(()));
             }
             // The task of the connection also wakes when the response is ready, and then reads from the
@@ -396,7 +438,10 @@
                 return self.poll_closed(cx).map(Ok);
             }
             let mut bytes = [0; READ_SIZE];
-            let read = ready!(self.stream.poll_read_bytes(cx, &mut bytes))?;
+            let Poll::Ready(read) = self.stream.poll_read_bytes(cx, &mut bytes) else {
+                return self.poll_head_timeout(cx);
+            };
+            let read = read?;
             if read == 0 {
                 if !pipeline.awaits_response() {
                     pipeline.end_stream();
--- a/crates/net/tests/framing.rs
+++ b/crates/net/tests/framing.rs
@@ -5,8 +5,10 @@
     framing::{FrameResult, RequestFrame, parse_frame, parse_head},
 };
 
+const MAX_HEAD_BYTES: usize = 64 * 1_024;
+
 fn frame(head: &str) -> Option<RequestFrame> {
-    match parse_frame(head.as_bytes()) {
+    match parse_frame(head.as_bytes(), MAX_HEAD_BYTES) {
         FrameResult::Complete(frame) => Some(frame),
         FrameResult::Partial | FrameResult::Unframed => None,
     }
@@ -20,7 +22,7 @@
     assert_eq!(request_frame.body_length, 12);
     assert!(!request_frame.may_run_concurrently() && !request_frame.closes_connection);
     for end in 0..head.len() {
-        let result = parse_frame(&head.as_bytes()[..end]);
+        let result = parse_frame(&head.as_bytes()[..end], MAX_HEAD_BYTES);
         assert!(matches!(result, FrameResult::Partial), "{end}");
     }
 }
@@ -62,7 +64,10 @@
     ];
     for head in heads {
         assert!(
-            matches!(parse_frame(head.as_bytes()), FrameResult::Unframed),
+            matches!(
+                parse_frame(head.as_bytes(), MAX_HEAD_BYTES),
+                FrameResult::Unframed
+            ),
             "{head}"
         );
     }
--- a/crates/net/tests/pipeline.rs
+++ b/crates/net/tests/pipeline.rs
@@ -12,7 +12,7 @@
 use fighall_net::{
     body::{IncomingBody, ProxyBody},
     connections::{ConnectionTable, TableOptions},
-    listener::serve_pipelined,
+    listener::{ListenerLimits, serve_pipelined},
     pipeline::RequestTurn,
 };
 use http::{HeaderValue, Request, Response, header::CONNECTION};
@@ -93,14 +93,11 @@
         }
     };
     let connections = ConnectionTable::new(TableOptions::default());
-    let head_timeout = || Duration::from_secs(5);
-    let server = serve_pipelined(
-        Rc::clone(&kernel),
-        listener,
-        connections,
-        head_timeout,
-        handler,
-    );
+    let limits = || ListenerLimits {
+        idle_timeout: Duration::from_secs(5),
+        ..ListenerLimits::default()
+    };
+    let server = serve_pipelined(Rc::clone(&kernel), listener, connections, limits, handler);
     kernel.spawn_service(server);
     (host, kernel, address)
 }
