gateway: clients hold at most half of the descriptors of a process

Cause: nothing limited the connections of clients, a connection that stopped in a body was kept without end, and the limit of the process on descriptors was not read. Change: the table of connections has a limit, half of `max_descriptors` (the platform's MaxFds; 4,096 by default) or of the operating system's limit if that is lower. At the limit, and when accept fails, the connection that waits longest for its client is closed, never one whose complete request is being served. All listeners share the limit. What is closed is counted, and logged in one line for each maintenance interval. Why it works: a stalled client is the one that has made no progress for longest, so it makes room for the next caller, and the other half of the descriptors is left to targets, hosts and the store.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod placement_log;
 pub mod policy;
 pub mod policy_copy;
+pub mod pressure;
 pub mod proxy;
 pub mod ration;
 pub mod reach;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,11 @@
     pub passed: IntCounterVec,
     /// Responses that belong to no request under way, by where they arrived: on an `idle` connection or in an `exchange`.
     pub surplus_responses: IntCounterVec,
+    /// Connections of clients that were closed for want of memory or descriptors: `evicted` after they were accepted, or
+    /// `rejected`.
+    pub closed_connections: IntCounterVec,
+    /// Bytes of the memory budget that are not reserved.
+    pub memory_available: IntGauge,
     /// Steps of store watches by object kind and outcome.
     pub watch_steps: IntCounterVec,
     /// Version of the traffic policy in force.
@@ -110,6 +115,15 @@
                 "Responses that belong to no request under way",
                 &["place"],
             )?,
+            closed_connections: counter_vec(
+                "fighall_closed_connections_total",
+                "Connections of clients closed for want of memory or descriptors",
+                &["reason"],
+            )?,
+            memory_available: gauge(
+                "fighall_memory_available_bytes",
+                "Memory budget that is not reserved",
+            )?,
             watch_steps: counter_vec(
                 "fighall_watch_steps_total",
                 "Steps of watches of the store",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -14,6 +14,7 @@
     placement_log::log_limit_changes,
     policy::CallerLimits,
     policy_copy::PolicyCopy,
+    pressure::PressureReport,
     proxy::CallerProxy,
     reach_probe::ReachProber,
     reload::{SettingsFile, SettingsReload},
@@ -38,7 +39,7 @@
 };
 use fighall_net::{
     body::ProxyBody,
-    connections::{ConnectionTable, TableOptions},
+    connections::{ConnectionTable, TableOptions, max_connections},
     listener::{ListenerLimits, bind, serve, serve_pipelined},
     pool::ConnectionPool,
 };
@@ -87,6 +88,7 @@
     policy: Rc<RefCell<PolicyCopy>>,
     pool: Rc<ConnectionPool>,
     connections: Rc<ConnectionTable>,
+    pressure: PressureReport,
     store: Rc<StoreClient>,
     follower: Rc<StoreFollower>,
     beat_service: Rc<BeatService>,
@@ -143,6 +145,7 @@
             policy: kernel.find(names::POLICY)?,
             pool: kernel.find(names::POOL)?,
             connections: kernel.find(names::CONNECTIONS)?,
+            pressure: PressureReport::default(),
             store: kernel.find(names::STORE)?,
             metrics: kernel.find(names::METRICS)?,
             logger: kernel.find(names::LOGGER)?,
@@ -332,6 +335,8 @@
             let now = boot_time();
             self.pool.prune();
             self.connections.mark_time();
+            self.pressure
+                .update(&self.connections, &self.metrics, &self.logger);
             let policy = self.policy.borrow().policy();
             let Some(policy) = policy else {
                 continue;
@@ -390,6 +395,7 @@
         .with_surplus_observer(surplus_observer(&logger, &metrics));
     let connections = ConnectionTable::new(TableOptions {
         budget: process_budget(settings.memory_mb),
+        max_connections: max_connections(settings.max_descriptors),
     });
     kernel.register(names::CONNECTIONS, connections)?;
     let status = SettingsStatus::new(&settings);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -44,6 +44,13 @@
             Some(256),
             "Memory that the process may use",
         ),
+        FieldSpec::integer(
+            "max_descriptors",
+            "",
+            (64, 10_000_000),
+            Some(4_096),
+            "Descriptors that the process may open; half of them are for connections of callers",
+        ),
         FieldSpec::integer(
             "store_calls",
             "calls/s",
@@ -133,6 +140,8 @@
         pub log_level: slog::Level,
         /// Memory that the process may use, in megabytes.
         pub memory_mb: usize,
+        /// Descriptors that the process may open.
+        pub max_descriptors: usize,
         /// Store calls per second that this host may make.
         pub store_calls: u32,
     }
@@ -195,6 +204,8 @@
             reader.report("log_level", format!("`{level_text}` is not a log level"));
         }
         let memory_mb = usize::try_from(reader.integer("memory_mb")).unwrap_or(usize::MAX);
+        let max_descriptors = reader.integer("max_descriptors");
+        let max_descriptors = usize::try_from(max_descriptors).unwrap_or(usize::MAX);
         let store_calls = u32::try_from(reader.integer("store_calls")).unwrap_or(1);
         Some(Self {
             host,
@@ -210,6 +221,7 @@
             bounds: bounds?,
             log_level: log_level?,
             memory_mb,
+            max_descriptors,
             store_calls,
         })
     }
--- a/crates/gateway/src/settings_status.rs
+++ b/crates/gateway/src/settings_status.rs
@@ -66,6 +66,10 @@
     compare("store", started.store != read.store);
     compare("log_level", started.log_level != read.log_level);
     compare("memory_mb", started.memory_mb != read.memory_mb);
+    compare(
+        "max_descriptors",
+        started.max_descriptors != read.max_descriptors,
+    );
     compare("store_calls", started.store_calls != read.store_calls);
     changes
 }
--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -3,6 +3,7 @@
 
 use crate::memory::{BudgetExceeded, MemoryBudget, ReservePriority, ReservedBytes};
 use event_listener::Event;
+use rustix::process::{Resource, getrlimit};
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, VecDeque},
@@ -13,6 +14,9 @@
 
 /// Memory of an open connection without its read-ahead buffer, in bytes.
 const CONNECTION_BYTES: usize = 20 * 1_024;
+/// Divisor of the descriptors of a process that gives its largest number of connections of clients. The rest is left
+/// to connections to targets, other hosts and the store.
+const DESCRIPTOR_DIVISOR: usize = 2;
 /// Memory for connections without a configured one, in bytes.
 const DEFAULT_BUDGET_BYTES: usize = 192 << 20;
 /// Longest time to wait for the end of a connection that was closed to make room.
@@ -38,16 +42,29 @@
 pub struct TableOptions {
     /// Memory for connections and for what clients send on them.
     pub budget: MemoryBudget,
+    /// Largest number of open connections.
+    pub max_connections: usize,
 }
 
 impl Default for TableOptions {
     fn default() -> Self {
         Self {
             budget: MemoryBudget::new(DEFAULT_BUDGET_BYTES),
+            max_connections: max_connections(usize::MAX),
         }
     }
 }
 
+/// Gets the largest number of connections of clients in a process that may open `max_descriptors`, or fewer if the
+/// operating system allows fewer.
+pub fn max_connections(max_descriptors: usize) -> usize {
+    let allowed = getrlimit(Resource::Nofile).current;
+    let allowed = allowed.map_or(usize::MAX, |allowed| {
+        usize::try_from(allowed).unwrap_or(usize::MAX)
+    });
+    (max_descriptors.min(allowed) / DESCRIPTOR_DIVISOR).max(1)
+}
+
 /// `TableCounts` are the numbers of connections that were closed or rejected for want of room.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TableCounts {
@@ -191,6 +208,13 @@
         slot
     }
 
+    /// Closes the connection that waits longest for its client, because the process has no descriptor left.
+    pub fn free_descriptor(&self) {
+        if !self.awaits_eviction() {
+            self.evict_longest_waiting(Self::may_be_replaced);
+        }
+    }
+
     /// Reserves further bytes of a body of which `reserved` is held. If there is no room, a stalled connection with an
     /// incomplete request or an unread response is closed.
     ///
@@ -232,6 +256,9 @@
     }
 
     fn try_admit(self: &Rc<Self>) -> Option<ConnectionSlot> {
+        if self.connections.borrow().len() >= self.options.max_connections {
+            return None;
+        }
         let mut reserved = ReservedBytes::new(&self.options.budget);
         reserved
             .grow(CONNECTION_BYTES, ReservePriority::Normal)
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -203,6 +203,7 @@
             }
         };
         let Ok((stream, remote)) = accepted else {
+            connections.free_descriptor();
             compio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
