net: what is read ahead of a connection is small and counts

Callers saw their connections reset when the process was killed: requests behind a waiting one took it over its memory. Cause: while a request is served, up to 64 KiB behind it are read ahead on each connection, and counted nowhere. Change: 8 KiB are read ahead, enough for the 16 requests that may run concurrently. What a connection buffers beyond one read is reserved in the budget of the process; without room, a connection is not read until its response was sent, and one with an unfinished head is closed. Why it works: every buffer that a client can fill is bounded and counted.

--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -1,7 +1,10 @@
 //! Open connections of a process: their number and memory are limited, and under pressure those that wait longest for
 //! their client are closed first.
 
-use crate::memory::{BudgetExceeded, MemoryBudget, ReservePriority, ReservedBytes};
+use crate::{
+    memory::{BudgetExceeded, MemoryBudget, ReservePriority, ReservedBytes},
+    stream::READ_SIZE,
+};
 use event_listener::Event;
 use rustix::process::{Resource, getrlimit};
 use std::{
@@ -95,7 +98,7 @@
     write_blocked: Cell<bool>,
     evicted: Cell<bool>,
     eviction: Event,
-    _reserved: ReservedBytes,
+    reserved: RefCell<ReservedBytes>,
 }
 
 impl std::fmt::Debug for OpenConnection {
@@ -125,6 +128,22 @@
         self.write_blocked.set(write_blocked);
     }
 
+    /// Reserves the memory of the connection's read-ahead buffer, of which one read is part of every connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the budget has no room.
+    pub(crate) fn set_buffer_bytes(&self, bytes: usize) -> Result<(), BudgetExceeded> {
+        let mut reserved = self.reserved.borrow_mut();
+        let target_bytes = CONNECTION_BYTES + bytes.saturating_sub(READ_SIZE);
+        let held_bytes = reserved.bytes();
+        if target_bytes > held_bytes {
+            return reserved.grow(target_bytes - held_bytes, ReservePriority::Low);
+        }
+        reserved.shrink(held_bytes - target_bytes);
+        Ok(())
+    }
+
     /// Completes when the connection has to close.
     pub async fn evicted(&self) {
         loop {
@@ -272,7 +291,7 @@
             write_blocked: Cell::new(false),
             evicted: Cell::new(false),
             eviction: Event::new(),
-            _reserved: reserved,
+            reserved: RefCell::new(reserved),
         });
         connection.record_progress();
         let mut connections = self.connections.borrow_mut();
--- a/crates/net/src/pipeline.rs
+++ b/crates/net/src/pipeline.rs
@@ -27,7 +27,7 @@
 /// Largest number of requests on one connection that run concurrently with the first one.
 const MAX_CONCURRENT: usize = 16;
 /// Number of bytes to read ahead while a request is being served, after which the connection is not read.
-const READ_AHEAD_BYTES: usize = 64 * 1_024;
+const READ_AHEAD_BYTES: usize = READ_SIZE;
 /// Interval at which a connection with that many bytes is checked for its end, which reading would not show.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -157,6 +157,10 @@
         is_between && is_framed && !state.buffer.is_empty()
     }
 
+    fn buffer_bytes(&self) -> usize {
+        self.state.borrow().buffer.capacity()
+    }
+
     /// Gets the turn of the current request.
     pub fn turn(&self) -> RequestTurn {
         self.turn_at(self.response_count.answered.get())
@@ -428,13 +432,20 @@
         loop {
             let copied = pipeline.read_into(&mut cursor);
             pipeline.start_early();
+            let reserved = self
+                .stream
+                .connection()
+                .set_buffer_bytes(pipeline.buffer_bytes());
             if copied > 0 {
                 self.head_timer = None;
                 return Poll::Ready(Ok(()));
             }
+            if reserved.is_err() && !pipeline.awaits_response() {
+                return Poll::Ready(Err(Error::from(ErrorKind::OutOfMemory)));
+            }
             // The task of the connection also wakes when the response is ready, and then reads from the
             // buffer.
-            if pipeline.is_full() {
+            if reserved.is_err() || pipeline.is_full() {
                 return self.poll_closed(cx).map(Ok);
             }
             let mut bytes = [0; READ_SIZE];
--- a/crates/net/src/tracked.rs
+++ b/crates/net/src/tracked.rs
@@ -22,6 +22,11 @@
         Self { stream, connection }
     }
 
+    /// Gets the state of the connection.
+    pub(crate) fn connection(&self) -> &OpenConnection {
+        &self.connection
+    }
+
     /// Reads like [`SocketStream::poll_read_bytes`].
     pub(crate) fn poll_read_bytes(
         &mut self,
