gateway: a request whose body is incomplete at its deadline gets 408

Callers saw: a request whose body stops was held until its client closed the connection, beyond the route's timeout. Cause: nothing limited the time of reading a body. What the request held stayed taken: its rate token, its place among the requests in flight of its service, its turn, its descriptor, and the drain of a stopping host. Change: a body is read until the deadline of its request, which follows from the route's timeout and the caller's own. Then the request gets 408 and the connection is closed. A request counts as in flight once its body is complete. Why it works: a body that is complete only after the deadline was refused before as well, so no request within the limits is affected; nothing was sent, so that 408 is true; and all that the request held is released on drop.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -205,15 +205,15 @@
             turn.reached().await;
         }
         let organisation = self.find_organisation(&policy, &route, &metadata, arrived_at)?;
+        let deadline = deadline_of(arrived_at, &metadata, &route);
         let mut reserved = ReservedBytes::new(self.connections.budget());
         let has_memory = reserved.grow(REQUEST_BYTES, ReservePriority::High);
         has_memory.map_err(|_| no_memory_refusal())?;
         if self.is_cut_off() {
-            let deadline = deadline_of(arrived_at, &metadata, &route);
             let regions = allowed_regions(&route, organisation.as_ref());
             let hosts = self.hosts_to_pass_to(&request, &metadata, regions.as_deref(), deadline)?;
             if !hosts.is_empty() {
-                let prepared = self.read_request(request, &metadata, &policy);
+                let prepared = self.read_request(request, &metadata, &policy, deadline);
                 let prepared = prepared.await?;
                 return self.pass(&prepared, hosts, deadline, trace).await;
             }
@@ -230,15 +230,15 @@
         let service = self.router.borrow_mut().pick_service(&route);
         let service = service.and_then(|service| policy.services.get(&service).cloned());
         let service = service.ok_or_else(unready_refusal)?;
+        let prepared = self.read_request(request, &metadata, &policy, deadline);
+        let prepared = prepared.await?;
         self.router
             .borrow_mut()
-            .start_request(arrived_at, &service.name);
+            .start_request(boot_time(), &service.name);
         let _guard = InFlightGuard {
             router: Rc::clone(&self.router),
             service: service.name.clone(),
         };
-        let prepared = self.read_request(request, &metadata, &policy);
-        let prepared = prepared.await?;
         let matched = RequestMatch {
             route,
             organisation,
@@ -253,9 +253,17 @@
         request: Request<IncomingBody>,
         metadata: &CallerMetadata,
         policy: &TrafficPolicy,
+        deadline: BootTime,
     ) -> std::result::Result<PreparedRequest, RequestRefusal> {
         let max_body_bytes = policy.limits.max_body_bytes;
-        prepare_request(request, metadata, &self.connections, max_body_bytes).await
+        prepare_request(
+            request,
+            metadata,
+            &self.connections,
+            max_body_bytes,
+            deadline,
+        )
+        .await
     }
 
     fn log_rate_limited(&self, request: &str, organisation: &OrgPolicy) {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -54,6 +54,8 @@
         TooLarge,
         /// The request body ended early or could not be read.
         Cut,
+        /// The request body was not complete at the deadline; nothing was sent.
+        Incomplete,
         /// The process has no memory for the request; nothing was sent.
         NoMemory,
         /// No target is eligible.
@@ -91,6 +93,7 @@
             Self::Rate => StatusCode::TOO_MANY_REQUESTS,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Cut => StatusCode::BAD_REQUEST,
+            Self::Incomplete => StatusCode::REQUEST_TIMEOUT,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -98,7 +101,10 @@
 
     /// Tells whether the rest of the request's body is not read, so that its connection cannot be used again.
     pub(crate) fn leaves_body_unread(self) -> bool {
-        matches!(self, Self::TooLarge | Self::Cut | Self::NoMemory)
+        matches!(
+            self,
+            Self::TooLarge | Self::Cut | Self::Incomplete | Self::NoMemory
+        )
     }
 }
 
@@ -199,19 +205,23 @@
     RequestRefusal::new(RefusalCause::CutOff).with_retry_after(CUT_OFF_RETRY_AFTER)
 }
 
-// Reads the body into memory, up to the limit of the policy.
+// Reads the body into memory, up to the limit of the policy and until the deadline of the request.
 pub(crate) async fn prepare_request(
     request: Request<IncomingBody>,
     metadata: &CallerMetadata,
     connections: &ConnectionTable,
     max_body_bytes: usize,
+    deadline: BootTime,
 ) -> std::result::Result<PreparedRequest, RequestRefusal> {
     let (parts, body) = request.into_parts();
     let body = if body.is_end_stream() {
         SegmentedBody::default()
     } else {
         let body = SegmentedBody::read_to_end(body, max_body_bytes, connections);
-        body.await.map_err(|error| body_refusal(&error))?
+        let time_left = deadline.saturating_sub(boot_time());
+        let body = compio::time::timeout(time_left, body).await;
+        let body = body.map_err(|_| RequestRefusal::new(RefusalCause::Incomplete))?;
+        body.map_err(|error| body_refusal(&error))?
     };
     let path_and_query = parts.uri.path_and_query().cloned();
     Ok(PreparedRequest {
