net: a refusal reaches a client that is still sending its request

Callers saw a broken pipe or a reset in place of 413 (and of 408 or 503 for want of memory). Cause: the connection was closed while bytes of the refused request lay unread; the operating system then resets it, and the reset overtakes the response. Why it works: nothing lies unread when the client reads the response, and the client sees the end of the stream.

--- a/crates/gateway/tests/stalled_bodies.rs
+++ b/crates/gateway/tests/stalled_bodies.rs
@@ -77,3 +77,21 @@
         assert_eq!(fleet.runs("stalled"), 0);
     });
 }
+
+// Regression: a host closed the connection with unread bytes, and the reset overtook its refusal.
+#[test]
+fn a_refusal_reaches_a_client_that_is_still_sending() {
+    const BODY_BYTES: usize = 4 << 20;
+    run(async {
+        let fleet = TestFleet::start(1, "").await;
+        fleet.publish(|_| {}).await;
+        for framing in [
+            format!("content-length: {BODY_BYTES}"),
+            format!("transfer-encoding: chunked\r\n\r\n{BODY_BYTES:x}"),
+        ] {
+            let body = "a".repeat(BODY_BYTES - framing.len());
+            let response = stall(fleet.callers, &framing, &body).await;
+            assert!(response.starts_with("HTTP/1.1 413"), "{response}");
+        }
+    });
+}
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -4,6 +4,7 @@
     body::{IncomingBody, ProxyBody},
     connections::{ConnectionPhase, ConnectionSlot, ConnectionTable, run_until_evicted},
     errors::{Error, Result},
+    linger::discard_rest,
     pipeline::{HeadLimits, PipelinedStream, RequestPipeline, RequestTurn},
     stream::SocketStream,
     tracked::TrackedStream,
@@ -158,6 +159,7 @@
         let pipeline = Rc::clone(&pipeline);
         move || pipeline.phase()
     });
+    let socket = accepted.stream.to_shared_socket();
     let stream = PipelinedStream::new(accepted.stream, Rc::clone(&pipeline));
     let service = service_fn(|request: Request<Incoming>| {
         let pipeline = Rc::clone(&pipeline);
@@ -174,6 +176,12 @@
     });
     let connection = http_builder(&limits).serve_connection(stream, service);
     let driven = drive_connection(kernel, connection, pipeline.drain());
+    let driven = async {
+        driven.await;
+        if pipeline.has_unread_request() {
+            discard_rest(socket).await;
+        }
+    };
     run_until_evicted(accepted.slot, driven).await;
 }
 
--- a/crates/net/src/pipeline.rs
+++ b/crates/net/src/pipeline.rs
@@ -149,6 +149,12 @@
         }
     }
 
+    /// Tells whether the client has not sent all of its requests, or not all that it has sent was read.
+    pub(crate) fn has_unread_request(&self) -> bool {
+        let state = self.state.borrow();
+        state.remaining_bytes > 0 || state.scanner.is_some() || !state.buffer.is_empty()
+    }
+
     // Whether a head has begun whose request is the next one to be served.
     fn awaits_head(&self) -> bool {
         let state = self.state.borrow();
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -37,6 +37,16 @@
         Ok(Self { socket })
     }
 
+    /// Wraps a socket that another stream was wrapped around.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of registering the socket.
+    pub(crate) fn from_shared_socket(socket: SharedFd<Socket>) -> Result<Self> {
+        let socket = SocketFd::from_shared_fd(socket)?;
+        Ok(Self { socket })
+    }
+
     /// Returns a reference to the socket, which stays open until all references are dropped.
     pub(crate) fn to_shared_socket(&self) -> SharedFd<Socket> {
         self.socket.to_shared_fd()
--- a/crates/net/src/tracked.rs
+++ b/crates/net/src/tracked.rs
@@ -1,7 +1,9 @@
 //! Streams that report their progress to the table of open connections.
 
 use crate::{connections::OpenConnection, stream::SocketStream};
+use compio::driver::SharedFd;
 use hyper::rt::{Read, ReadBufCursor, Write};
+use socket2::Socket;
 use std::{
     io::{IoSlice, Result},
     pin::Pin,
@@ -40,6 +42,11 @@
         read
     }
 
+    /// Returns a reference to the socket, see [`SocketStream::to_shared_socket`].
+    pub(crate) fn to_shared_socket(&self) -> SharedFd<Socket> {
+        self.stream.to_shared_socket()
+    }
+
     /// Tells whether the client has closed the connection, see [`SocketStream::is_closed_by_peer`].
     pub(crate) fn is_closed_by_peer(&self) -> bool {
         self.stream.is_closed_by_peer()
