test: status 000 behind an interim response and behind a complete one

Users' report: an upstream in trouble sent status 000, and the client got it as an answer. Not played: such a status behind a proper interim response, and as a second response behind a complete one.

--- a/crates/gateway/tests/malformed_responses.rs
+++ b/crates/gateway/tests/malformed_responses.rs
@@ -43,6 +43,11 @@
     for line in STATUS_LINES {
         let respond = move |id: &str| response(line, b"", id);
         responses.push((line.to_owned(), Rc::new(respond)));
+        let after_interim = move |id: &str| {
+            let hints = b"HTTP/1.1 103 Early Hints\r\n\r\n".to_vec();
+            [hints, response(line, b"", id)].concat()
+        };
+        responses.push((format!("103, {line}"), Rc::new(after_interim)));
     }
     for line in FIELD_LINES {
         let shown = line.escape_ascii().to_string();
@@ -213,3 +218,32 @@
         }
     });
 }
+
+#[test]
+fn a_malformed_response_behind_a_complete_one_is_no_answer() {
+    run(async {
+        let fleet = TestFleet::start(0, "").await;
+        let address = start_raw_target(move |_, id| {
+            let complete = response("HTTP/1.1 200 OK", b"", id);
+            let surplus = response("HTTP/1.1 000 Trouble", b"", id);
+            ([complete, surplus].concat(), false)
+        });
+        list_target(&fleet.store, "t0", address.await);
+        fleet.publish(|_| {}).await;
+        compio::time::sleep(LISTING_DELAY).await;
+        let client = cyper::Client::new().expect("the client should be created");
+        for number in 0..20 {
+            let answer = send(
+                &client,
+                fleet.callers,
+                "/write/a",
+                &format!("m{number}"),
+                KEY,
+            )
+            .await;
+            let answer = answer.expect("a response");
+            assert!(matches!(answer.status, 200 | 502), "{}", answer.status);
+            assert_eq!(answer.body == BODY, answer.status == 200, "{}", answer.body);
+        }
+    });
+}
