--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -6,6 +6,7 @@
         CopyStatus, FollowedKind, HeartbeatEcho, HostStatus, KindChanges, OrgUsage, PeerHeartbeat,
         PeerMessage, ZoneDigest, ZoneVersions,
     },
+    policy::TrafficPolicy,
 };
 use fighall_store::object::ObjectChange;
 use std::collections::BTreeMap;
@@ -176,3 +177,16 @@
         assert_eq!(format!("{message:?}"), format!("{expected:?}"));
     }
 }
+
+// Regression: limits on heads were added to the policy.
+#[test]
+fn a_policy_of_the_version_before_has_the_default_limits_on_heads() {
+    let policy = TrafficPolicy::default();
+    let mut value = serde_json::to_value(&policy).expect("a value");
+    let limits = value["limits"].as_object_mut().expect("limits");
+    for field in ["head_bytes", "head_ms"] {
+        assert!(limits.remove(field).is_some(), "{field}");
+    }
+    let read: TrafficPolicy = serde_json::from_value(value).expect("a policy");
+    assert_eq!(read, policy);
+}
