--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -46,7 +46,7 @@
         ),
         FieldSpec::integer(
             "max_descriptors",
-            "",
+            "descriptors",
             (64, 10_000_000),
             Some(4_096),
             "Descriptors that the process may open; half of them are for connections of callers",
--- a/crates/gateway/tests/stalled_bodies.rs
+++ b/crates/gateway/tests/stalled_bodies.rs
@@ -95,3 +95,19 @@
         }
     });
 }
+
+// Regression: the same for a body that the process has no memory for, which is found out in the middle.
+#[test]
+fn a_refusal_for_want_of_memory_reaches_a_client_that_is_still_sending() {
+    const BODY_BYTES: usize = 40 << 20;
+    run(async {
+        let fleet = TestFleet::start(1, "").await;
+        fleet
+            .publish(|policy| policy.limits.max_body_bytes = BODY_BYTES)
+            .await;
+        let framing = format!("content-length: {BODY_BYTES}");
+        let response = stall(fleet.callers, &framing, &"a".repeat(BODY_BYTES)).await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(response.contains("retry-after: "), "{response}");
+    });
+}
