Names and constants of this change by the house style

Cause: read as a newcomer. Change: named constants for the default limits of listeners and for the budget's part of the memory, one import of a crate, a function's name.

--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -15,6 +15,8 @@
 
 /// Largest response body that is buffered, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Part of the process memory that connections, requests and responses may take, in percent.
+const BUDGET_PERCENT: usize = 75;
 /// Divisor of the process memory that gives the share of response bodies.
 const RESPONSE_DIVISOR: usize = 8;
 
@@ -40,7 +42,7 @@
 /// Gets the budget of connections, requests and responses of a process that may use `memory_mb` MiB of memory. The rest
 /// is left to the process's own state and to the allocator.
 pub fn process_budget(memory_mb: usize) -> MemoryBudget {
-    MemoryBudget::new((memory_mb << 20) / 4 * 3)
+    MemoryBudget::new((memory_mb << 20) / 100 * BUDGET_PERCENT)
 }
 
 /// `ResponseBudget` limits the memory of all response bodies that are being read or delivered. It is a share of the
--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -6,6 +6,7 @@
     stream::READ_SIZE,
 };
 use event_listener::Event;
+use futures_util::{FutureExt, pin_mut, select_biased};
 use rustix::process::{Resource, getrlimit};
 use std::{
     cell::{Cell, RefCell},
@@ -251,7 +252,7 @@
             ReservePriority::Low
         };
         let mut try_reserve = || reserved.grow(bytes, priority).ok();
-        let reserved = self.wait_for_room(&mut try_reserve, Self::holds_bytes_in_vain);
+        let reserved = self.wait_for_room(&mut try_reserve, Self::holds_stalled_bytes);
         reserved.await.ok_or(BudgetExceeded)
     }
 
@@ -334,7 +335,7 @@
     }
 
     // Whether memory is held for a client that neither sends nor reads.
-    fn holds_bytes_in_vain(&self, connection: &OpenConnection) -> bool {
+    fn holds_stalled_bytes(&self, connection: &OpenConnection) -> bool {
         let phase = connection.phase.borrow();
         let holds_bytes = connection.write_blocked.get() || phase() == ConnectionPhase::Receiving;
         holds_bytes && self.is_stalled(connection)
@@ -355,7 +356,6 @@
 
 /// Runs the task of a connection until it ends or the connection has to close.
 pub async fn run_until_evicted(slot: ConnectionSlot, task: impl Future<Output = ()>) {
-    use futures_util::{FutureExt, pin_mut, select_biased};
     let task = task.fuse();
     let evicted = slot.connection.evicted().fuse();
     pin_mut!(task, evicted);
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -34,6 +34,12 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Largest number of headers in a request.
 pub const MAX_HEADERS: usize = 100;
+/// Largest head of a request without a configured limit, in bytes.
+const DEFAULT_HEAD_BYTES: usize = 20 * 1_024;
+/// Longest time for a head without a configured limit.
+const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time to wait for a request without a configured limit.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Smallest limit on heads that the HTTP library supports, in bytes.
 const MIN_HEAD_BYTES: usize = 8 * 1_024;
 
@@ -51,9 +57,9 @@
 impl Default for ListenerLimits {
     fn default() -> Self {
         Self {
-            max_head_bytes: 20 * 1_024,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
+            max_head_bytes: DEFAULT_HEAD_BYTES,
+            head_timeout: DEFAULT_HEAD_TIMEOUT,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
         }
     }
 }
