gateway: request ended tells the connection, the position on it and an early start

Change: the place of a request (number of its connection, position from 0, whether it was started before the responses to those before it) is part of its turn and of the line.

--- a/crates/gateway/src/proxy.rs
+++ b/crates/gateway/src/proxy.rs
@@ -137,8 +137,12 @@
         if !trace.idempotent && promises_no_run(status) {
             log_refusal(&self.logger, &id, status, &outcome, &trace);
         }
+        let place = turn.place();
         info!(self.logger, "request ended";
             "request" => &id,
+            "connection" => place.connection,
+            "position" => place.position,
+            "early" => place.is_early,
             "route" => trace.route,
             "outcome" => outcome,
             "routed_by" => trace.routed_by.map(|(version, _)| version),
--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -171,6 +171,11 @@
 }
 
 impl ConnectionSlot {
+    /// Gets the number of the connection, unique in its table.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
     /// Gets the state of the connection.
     pub fn connection(&self) -> &Rc<OpenConnection> {
         &self.connection
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -159,7 +159,8 @@
         let request = Request::from_parts(parts, IncomingBody::Right(Empty::new()));
         early_handler(request, turn).boxed_local()
     };
-    let pipeline = RequestPipeline::new(Box::new(start_early), limits.head_limits());
+    let number = accepted.slot.number();
+    let pipeline = RequestPipeline::new(number, Box::new(start_early), limits.head_limits());
     let pipeline = Rc::new(pipeline);
     accepted.slot.connection().set_phase({
         let pipeline = Rc::clone(&pipeline);
--- a/crates/net/src/pipeline.rs
+++ b/crates/net/src/pipeline.rs
@@ -43,20 +43,36 @@
     changed: Event,
 }
 
+/// `RequestPlace` tells where a request arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestPlace {
+    /// Number of the connection, unique in its process.
+    pub connection: u64,
+    /// Position of the request on the connection; the first one is 0.
+    pub position: u64,
+    /// Whether the request was started ahead of its turn.
+    pub is_early: bool,
+}
+
 /// `RequestTurn` is the position of a request on its connection.
 #[derive(Debug, Clone)]
 pub struct RequestTurn {
-    number: u64,
+    place: RequestPlace,
     response_count: Rc<ResponseCount>,
 }
 
 impl RequestTurn {
+    /// Gets where the request arrived.
+    pub fn place(&self) -> RequestPlace {
+        self.place
+    }
+
     /// Waits until all earlier requests have been answered. A request that may run at most once must
     /// wait for this: if an earlier response closes the connection, the caller sends the request again.
     pub async fn reached(&self) {
         loop {
             let changed = self.response_count.changed.listen();
-            if self.response_count.answered.get() >= self.number {
+            if self.response_count.answered.get() >= self.place.position {
                 return;
             }
             changed.await;
@@ -115,6 +131,7 @@
     response_count: Rc<ResponseCount>,
     handler: EarlyHandler,
     head_limits: HeadLimits,
+    connection: u64,
 }
 
 impl std::fmt::Debug for RequestPipeline {
@@ -126,10 +143,11 @@
 }
 
 impl RequestPipeline {
-    /// Creates the pipeline of a new connection; `handler` handles requests that start ahead of their
-    /// turn.
-    pub fn new(handler: EarlyHandler, head_limits: HeadLimits) -> Self {
+    /// Creates the pipeline of a new connection with its number; `handler` handles requests that start
+    /// ahead of their turn.
+    pub fn new(connection: u64, handler: EarlyHandler, head_limits: HeadLimits) -> Self {
         Self {
+            connection,
             state: RefCell::new(PipelineState::default()),
             response_count: Rc::new(ResponseCount::default()),
             handler,
@@ -169,12 +187,16 @@
 
     /// Gets the turn of the current request.
     pub fn turn(&self) -> RequestTurn {
-        self.turn_at(self.response_count.answered.get())
+        self.turn_at(self.response_count.answered.get(), false)
     }
 
-    fn turn_at(&self, number: u64) -> RequestTurn {
+    fn turn_at(&self, position: u64, is_early: bool) -> RequestTurn {
         RequestTurn {
-            number,
+            place: RequestPlace {
+                connection: self.connection,
+                position,
+                is_early,
+            },
             response_count: Rc::clone(&self.response_count),
         }
     }
@@ -232,7 +254,7 @@
                 let Some(parts) = parse_head(bytes) else {
                     return;
                 };
-                let turn = self.turn_at(request.number);
+                let turn = self.turn_at(request.number, true);
                 request.response = Some(compio::runtime::spawn((self.handler)(parts, turn)));
             }
             if !request.allows_concurrency() {
