net: each request of a connection owns its bytes

A target ran POST /book/never-sent, a text within a header value, with the identifier and key of the first request; the second request did not run, and its client got the response to the other one.

Cause: what is read ahead lay in one buffer, from whose start bytes are removed as the HTTP library reads them (8 KiB at first). start_early looked for the requests that wait from the start of that buffer, also while the rest of the current head was still in it, and parsed this rest as the head of the next request.

Change: RequestQueue, in which each request owns its bytes from its head to the end of its body; a request that starts ahead of its turn is parsed from its own head. The sums of lengths that followed the buffer are gone. The memory of the queue counts towards the budget of its connection.

--- a/crates/net/src/framing.rs
+++ b/crates/net/src/framing.rs
@@ -15,7 +15,7 @@
 pub struct RequestFrame {
     /// Length of the head in bytes, with the empty line after it.
     pub head_length: usize,
-    /// Length of the body in bytes; for a chunked body, of the part that was scanned.
+    /// Length of the body in bytes; 0 for a chunked body.
     pub body_length: u64,
     /// Whether the body is chunked.
     pub is_chunked: bool,
@@ -37,12 +37,6 @@
 }
 
 impl RequestFrame {
-    /// Gets the length of head and body in bytes.
-    pub fn length(&self) -> u64 {
-        let head = u64::try_from(self.head_length).unwrap_or(u64::MAX);
-        head.saturating_add(self.body_length)
-    }
-
     /// Tells whether the request may run concurrently with others on its connection: its method is safe,
     /// and it has no body that would have to be read first (RFC 9112, section 9.3.2).
     pub fn may_run_concurrently(&self) -> bool {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -16,6 +16,7 @@
 mod opener;
 pub mod pipeline;
 pub mod pool;
+mod request_queue;
 mod reset;
 pub mod segments;
 pub mod socket;
--- a/crates/net/src/pipeline.rs
+++ b/crates/net/src/pipeline.rs
@@ -2,12 +2,8 @@
 //! served (RFC 9112, section 9.3.2). Responses are sent in the order of the requests.
 
 use crate::{
-    body::ProxyBody,
-    chunks::{ChunkScanner, ScanResult},
-    connections::ConnectionPhase,
-    framing::{FrameResult, RequestFrame, parse_frame, parse_head},
-    stream::READ_SIZE,
-    tracked::TrackedStream,
+    body::ProxyBody, connections::ConnectionPhase, framing::parse_head,
+    request_queue::RequestQueue, stream::READ_SIZE, tracked::TrackedStream,
 };
 use compio::runtime::JoinHandle;
 use event_listener::Event;
@@ -16,7 +12,6 @@
 use hyper::rt::ReadBufCursor;
 use std::{
     cell::{Cell, RefCell},
-    collections::VecDeque,
     io::{Error, ErrorKind, IoSlice, Result},
     pin::Pin,
     rc::Rc,
@@ -24,8 +19,6 @@
     time::Duration,
 };
 
-/// Largest number of requests on one connection that run concurrently with the first one.
-const MAX_CONCURRENT: usize = 16;
 /// Number of bytes to read ahead while a request is being served, after which the connection is not read.
 const READ_AHEAD_BYTES: usize = READ_SIZE;
 /// Interval at which a connection with that many bytes is checked for its end, which reading would not show.
@@ -80,21 +73,6 @@
     }
 }
 
-// A request that was read ahead and is not yet handed to hyper.
-#[derive(Debug)]
-struct QueuedRequest {
-    frame: RequestFrame,
-    number: u64,
-    response: Option<EarlyResponse>,
-}
-
-impl QueuedRequest {
-    // Whether later requests may run concurrently with this one.
-    fn allows_concurrency(&self) -> bool {
-        self.frame.may_run_concurrently() && !self.frame.closes_connection
-    }
-}
-
 /// `HeadLimits` are the limits on the head of a request.
 #[derive(Debug, Clone, Copy)]
 pub struct HeadLimits {
@@ -104,30 +82,9 @@
     pub timeout: Duration,
 }
 
-#[derive(Debug, Default)]
-struct PipelineState {
-    // Bytes that were read and are not yet handed to hyper.
-    buffer: Vec<u8>,
-    // Requests at the start of these bytes, and the number of bytes that they cover.
-    requests: VecDeque<QueuedRequest>,
-    framed_bytes: u64,
-    request_count: u64,
-    // Position in the chunked body of the last of these requests or of the current one, until its end.
-    scanner: Option<ChunkScanner>,
-    // Bytes still to hand over of the current request.
-    remaining_bytes: u64,
-    // Whether the current request awaits its response, and whether others may run concurrently with it.
-    awaits_response: bool,
-    allows_concurrency: bool,
-    response: Option<EarlyResponse>,
-    // Whether the rest of the bytes is handed over without framing.
-    unframed: bool,
-    stopping: bool,
-}
-
 /// `RequestPipeline` is the state that the requests of one connection share.
 pub struct RequestPipeline {
-    state: RefCell<PipelineState>,
+    queue: RefCell<RequestQueue>,
     response_count: Rc<ResponseCount>,
     handler: EarlyHandler,
     head_limits: HeadLimits,
@@ -137,7 +94,7 @@
 impl std::fmt::Debug for RequestPipeline {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("RequestPipeline")
-            .field("state", &self.state)
+            .field("queue", &self.queue)
             .finish_non_exhaustive()
     }
 }
@@ -148,7 +105,7 @@
     pub fn new(connection: u64, handler: EarlyHandler, head_limits: HeadLimits) -> Self {
         Self {
             connection,
-            state: RefCell::new(PipelineState::default()),
+            queue: RefCell::new(RequestQueue::default()),
             response_count: Rc::new(ResponseCount::default()),
             handler,
             head_limits,
@@ -157,10 +114,10 @@
 
     /// Gets what the connection waits for.
     pub fn phase(&self) -> ConnectionPhase {
-        let state = self.state.borrow();
-        if state.has_early_response() || state.awaits_response && state.has_complete_request() {
+        let queue = self.queue.borrow();
+        if queue.has_early_response() || queue.awaits_response() && queue.is_received() {
             ConnectionPhase::Serving
-        } else if state.awaits_response || !state.buffer.is_empty() {
+        } else if queue.awaits_response() || queue.len() > 0 {
             ConnectionPhase::Receiving
         } else {
             ConnectionPhase::Idle
@@ -169,20 +126,7 @@
 
     /// Tells whether the client has not sent all of its requests, or not all that it has sent was read.
     pub(crate) fn has_unread_request(&self) -> bool {
-        let state = self.state.borrow();
-        state.remaining_bytes > 0 || state.scanner.is_some() || !state.buffer.is_empty()
-    }
-
-    // Whether a head has begun whose request is the next one to be served.
-    fn awaits_head(&self) -> bool {
-        let state = self.state.borrow();
-        let is_between = !state.awaits_response && state.remaining_bytes == 0;
-        let is_framed = state.requests.is_empty() && !state.unframed;
-        is_between && is_framed && !state.buffer.is_empty()
-    }
-
-    fn buffer_bytes(&self) -> usize {
-        self.state.borrow().buffer.capacity()
+        self.queue.borrow().has_unread_request()
     }
 
     /// Gets the turn of the current request.
@@ -203,15 +147,15 @@
 
     /// Takes the task of the current request, if it was started ahead of its turn.
     pub fn take_early_response(&self) -> Option<EarlyResponse> {
-        self.state.borrow_mut().response.take()
+        self.queue.borrow_mut().take_early_response()
     }
 
     /// Records the response to the current request. Removes the response's `connection: close` while
     /// later requests are running, since the caller would send those again.
     pub fn record_response(&self, response: &mut Response<ProxyBody>) {
-        let mut state = self.state.borrow_mut();
-        state.awaits_response = false;
-        if state.has_early_response() {
+        let mut queue = self.queue.borrow_mut();
+        queue.record_response();
+        if queue.has_early_response() {
             response.headers_mut().remove(CONNECTION);
         }
         self.response_count
@@ -223,175 +167,47 @@
     /// Stops starting requests ahead of their turn, and waits until those already started are handed to
     /// hyper.
     pub async fn drain(&self) {
-        self.state.borrow_mut().stopping = true;
+        self.queue.borrow_mut().stop();
         loop {
             let changed = self.response_count.changed.listen();
-            if !self.state.borrow().has_early_response() {
+            if !self.queue.borrow().has_early_response() {
                 return;
             }
             changed.await;
         }
     }
 
-    // Appends bytes of the connection and splits them into requests.
-    fn append(&self, bytes: &[u8]) {
-        let mut state = self.state.borrow_mut();
-        state.buffer.extend_from_slice(bytes);
-        state.frame_requests(self.head_limits.max_bytes);
-    }
-
     fn start_early(&self) {
-        let mut state = self.state.borrow_mut();
-        if !state.awaits_response || !state.allows_concurrency || state.stopping {
-            return;
-        }
-        let PipelineState {
-            buffer, requests, ..
-        } = &mut *state;
-        let mut bytes = buffer.as_slice();
-        for request in requests.iter_mut().take(MAX_CONCURRENT) {
-            if request.response.is_none() && request.frame.may_run_concurrently() {
-                let Some(parts) = parse_head(bytes) else {
-                    return;
-                };
-                let turn = self.turn_at(request.number, true);
-                request.response = Some(compio::runtime::spawn((self.handler)(parts, turn)));
+        let mut queue = self.queue.borrow_mut();
+        for request in queue.concurrent_requests() {
+            if request.response.is_some() {
+                continue;
             }
-            if !request.allows_concurrency() {
+            let Some(parts) = parse_head(request.head()) else {
                 return;
-            }
-            bytes = &bytes[request.frame.head_length..];
+            };
+            let turn = self.turn_at(request.position, true);
+            request.response = Some(compio::runtime::spawn((self.handler)(parts, turn)));
         }
     }
 
-    // Hands the bytes to hyper that it may read now, at most those of the current request. Returns their
-    // number.
-    fn read_into(&self, cursor: &mut ReadBufCursor<'_>) -> usize {
-        let copied = self.state.borrow_mut().read_into(cursor);
-        if copied > 0 {
+    // Hands the bytes to hyper that it may read now. Returns their number.
+    fn hand_over(&self, cursor: &mut ReadBufCursor<'_>) -> usize {
+        let length = self.queue.borrow_mut().hand_over(cursor);
+        if length > 0 {
             self.response_count.changed.notify(usize::MAX);
         }
-        copied
+        length
     }
 
     fn is_full(&self) -> bool {
-        let state = self.state.borrow();
-        let max_bytes = if state.awaits_response {
+        let queue = self.queue.borrow();
+        let max_bytes = if queue.awaits_response() {
             READ_AHEAD_BYTES
         } else {
             self.head_limits.max_bytes
         };
-        state.buffer.len() >= max_bytes
-    }
-
-    // At the end of the stream, hyper gets the incomplete head that is left.
-    fn end_stream(&self) {
-        self.state.borrow_mut().unframed = true;
-    }
-
-    fn awaits_response(&self) -> bool {
-        self.state.borrow().awaits_response
-    }
-}
-
-impl PipelineState {
-    fn has_early_response(&self) -> bool {
-        self.requests
-            .iter()
-            .any(|request| request.response.is_some())
-    }
-
-    // A stopping host begins no further pipelined request; the caller sends it to another host.
-    fn must_not_begin_next(&self) -> bool {
-        let first = self.requests.front();
-        self.stopping && first.is_some_and(|request| request.response.is_none())
-    }
-
-    // Whether all bytes of the current request were received.
-    fn has_complete_request(&self) -> bool {
-        let buffered_bytes = u64::try_from(self.buffer.len()).unwrap_or(u64::MAX);
-        let is_scanned = self.scanner.is_none() || !self.requests.is_empty();
-        is_scanned && self.remaining_bytes <= buffered_bytes
-    }
-
-    fn frame_requests(&mut self, max_head_bytes: usize) {
-        while !self.unframed {
-            let framed_bytes = usize::try_from(self.framed_bytes).unwrap_or(usize::MAX);
-            let Some(bytes) = self
-                .buffer
-                .get(framed_bytes..)
-                .filter(|bytes| !bytes.is_empty())
-            else {
-                return;
-            };
-            if let Some(scanner) = &mut self.scanner {
-                let scanned = scanner.scan(bytes);
-                let length = match scanned {
-                    ScanResult::Partial | ScanResult::Malformed => bytes.len(),
-                    ScanResult::Complete(length) => length,
-                };
-                if scanned != ScanResult::Partial {
-                    self.scanner = None;
-                }
-                // hyper rejects a malformed body when it reaches it.
-                self.unframed = scanned == ScanResult::Malformed;
-                self.extend_last_request(length);
-                continue;
-            }
-            match parse_frame(bytes, max_head_bytes) {
-                FrameResult::Partial => return,
-                FrameResult::Unframed => self.unframed = true,
-                FrameResult::Complete(frame) => {
-                    self.framed_bytes += frame.length();
-                    self.scanner = frame.is_chunked.then(ChunkScanner::default);
-                    self.requests.push_back(QueuedRequest {
-                        frame,
-                        number: self.request_count,
-                        response: None,
-                    });
-                    self.request_count += 1;
-                }
-            }
-        }
-    }
-
-    // Adds bytes of a chunked body to the request that they belong to.
-    fn extend_last_request(&mut self, length: usize) {
-        let length = u64::try_from(length).unwrap_or(u64::MAX);
-        self.framed_bytes += length;
-        match self.requests.back_mut() {
-            Some(request) => request.frame.body_length += length,
-            None => self.remaining_bytes += length,
-        }
-    }
-
-    fn read_into(&mut self, cursor: &mut ReadBufCursor<'_>) -> usize {
-        let may_begin =
-            self.remaining_bytes == 0 && !self.awaits_response && !self.must_not_begin_next();
-        if may_begin && let Some(request) = self.requests.pop_front() {
-            self.remaining_bytes = request.frame.length();
-            self.awaits_response = true;
-            self.allows_concurrency = request.allows_concurrency();
-            self.response = request.response;
-        }
-        let unframed = self.unframed && self.requests.is_empty() && self.remaining_bytes == 0;
-        let max_bytes = if unframed {
-            usize::MAX
-        } else {
-            usize::try_from(self.remaining_bytes).unwrap_or(usize::MAX)
-        };
-        let copied = max_bytes.min(self.buffer.len()).min(cursor.remaining());
-        cursor.put_slice(&self.buffer[..copied]);
-        self.buffer.drain(..copied);
-        if self.buffer.is_empty() {
-            self.buffer = Vec::new();
-        }
-        if !unframed {
-            let length = u64::try_from(copied).unwrap_or(u64::MAX);
-            self.remaining_bytes -= length;
-            self.framed_bytes -= length;
-        }
-        copied
+        queue.len() >= max_bytes
     }
 }
 
@@ -425,7 +241,7 @@
 
     // Fails once a head has taken too long.
     fn poll_head_timeout(&mut self, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        if !self.pipeline.awaits_head() {
+        if !self.pipeline.queue.borrow().awaits_head() {
             self.head_timer = None;
             return Poll::Pending;
         }
@@ -458,21 +274,22 @@
     ) -> Poll<Result<()>> {
         let pipeline = Rc::clone(&self.pipeline);
         loop {
-            let copied = pipeline.read_into(&mut cursor);
+            let length = pipeline.hand_over(&mut cursor);
             pipeline.start_early();
-            let reserved = self
-                .stream
-                .connection()
-                .set_buffer_bytes(pipeline.buffer_bytes());
-            if copied > 0 {
+            let (held_bytes, awaits_response) = {
+                let queue = pipeline.queue.borrow();
+                (queue.held_bytes(), queue.awaits_response())
+            };
+            let reserved = self.stream.connection().set_buffer_bytes(held_bytes);
+            if length > 0 {
                 self.head_timer = None;
                 return Poll::Ready(Ok(()));
             }
-            if reserved.is_err() && !pipeline.awaits_response() {
+            if reserved.is_err() && !awaits_response {
                 return Poll::Ready(Err(Error::from(ErrorKind::OutOfMemory)));
             }
             // The task of the connection also wakes when the response is ready, and then reads from the
-            // buffer.
+            // queue.
             if reserved.is_err() || pipeline.is_full() {
                 return self.poll_closed(cx).map(Ok);
             }
@@ -482,13 +299,15 @@
             };
             let read = read?;
             if read == 0 {
-                if !pipeline.awaits_response() {
-                    pipeline.end_stream();
-                    pipeline.read_into(&mut cursor);
+                if !awaits_response {
+                    pipeline.queue.borrow_mut().end();
+                    pipeline.hand_over(&mut cursor);
                 }
                 return Poll::Ready(Ok(()));
             }
-            pipeline.append(&bytes[..read]);
+            let max_head_bytes = pipeline.head_limits.max_bytes;
+            let mut queue = pipeline.queue.borrow_mut();
+            queue.append(&bytes[..read], max_head_bytes);
         }
     }
 }
