gateway: a log line and a metric for tasks that wait for their thread

Change: a service measures by how much a due task is late, logs the longest delay of each second from 50 ms on, and keeps the longest one as a metric. Streams count the bytes that they transfer without having to wait; the line names the busiest connection.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,5 +61,6 @@
 pub mod target_limit;
 pub mod target_pause;
 pub mod target_share;
+pub mod turn_report;
 pub mod validation;
 pub mod work;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -51,6 +51,8 @@
     pub hosts: IntGauge,
     /// Number of requests that are blocked because targets crash under them.
     pub blocked_requests: IntGauge,
+    /// Longest time for which a due task waited for the others of its thread, in milliseconds.
+    pub longest_delay_ms: IntGauge,
     /// 1 while this host reaches no target, else 0.
     pub targets_unreachable: IntGauge,
     /// Limits that targets name.
@@ -149,6 +151,10 @@
                 "fighall_blocked_requests",
                 "Requests blocked because targets crash under them",
             )?,
+            longest_delay_ms: gauge(
+                "fighall_longest_task_delay_milliseconds",
+                "Longest time for which a due task waited for others",
+            )?,
             targets_unreachable: gauge(
                 "fighall_targets_unreachable",
                 "1 while no target can be reached",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -27,6 +27,7 @@
     router::RequestRouter,
     settings::GatewaySettings,
     settings_status::SettingsStatus,
+    turn_report::DelayMonitor,
 };
 use bytes::Bytes;
 use compio::net::TcpListener;
@@ -139,6 +140,7 @@
         let reload = Rc::new(SettingsReload::new(&kernel, file)?);
         kernel.spawn_service(reload.watch_file());
         kernel.spawn_service(ReachProber::new(&kernel)?.run());
+        kernel.spawn_service(DelayMonitor::new(&kernel)?.run());
         for signal in [SIGHUP, SIGTERM] {
             kernel.spawn_service(keep_signal_handler(signal));
         }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod kernel;
 pub mod program;
 pub mod stage;
+pub mod turn;
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -6,6 +6,7 @@
     net::TcpStream,
     runtime::fd::PollFd as SocketFd,
 };
+use fighall_kernel::turn::TaskTurn;
 use futures_util::{AsyncRead, AsyncWrite};
 use hyper::rt::ReadBufCursor;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -23,6 +24,7 @@
 #[derive(Debug)]
 pub struct SocketStream {
     socket: SocketFd<Socket>,
+    turn: TaskTurn,
 }
 
 impl SocketStream {
@@ -34,7 +36,7 @@
     pub fn new(stream: TcpStream) -> Result<Self> {
         let socket = stream.into_poll_fd()?;
         SockRef::from(&socket).set_nonblocking(true)?;
-        Ok(Self { socket })
+        Ok(Self::with_socket(socket))
     }
 
     /// Wraps a socket that another stream was wrapped around.
@@ -44,7 +46,14 @@
     /// Returns the error of registering the socket.
     pub(crate) fn from_shared_socket(socket: SharedFd<Socket>) -> Result<Self> {
         let socket = SocketFd::from_shared_fd(socket)?;
-        Ok(Self { socket })
+        Ok(Self::with_socket(socket))
+    }
+
+    fn with_socket(socket: SocketFd<Socket>) -> Self {
+        Self {
+            socket,
+            turn: TaskTurn::default(),
+        }
     }
 
     /// Returns a reference to the socket, which stays open until all references are dropped.
@@ -59,7 +68,18 @@
         cx: &mut Context<'_>,
         bytes: &mut [u8],
     ) -> Poll<Result<usize>> {
-        AsyncRead::poll_read(Pin::new(&mut self.socket), cx, bytes)
+        let read = AsyncRead::poll_read(Pin::new(&mut self.socket), cx, bytes);
+        self.record_turn(&read);
+        read
+    }
+
+    fn record_turn(&mut self, transferred: &Poll<Result<usize>>) {
+        let Self { socket, turn } = self;
+        match transferred {
+            Poll::Ready(Ok(length)) => turn.count(*length, || describe_peer(socket)),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => turn.wait(),
+        }
     }
 
     /// Tells whether the other side has closed or reset the connection, also while bytes that it sent before
@@ -73,6 +93,15 @@
     }
 }
 
+fn describe_peer(socket: &SocketFd<Socket>) -> String {
+    let peer = SockRef::from(socket).peer_addr();
+    let peer = peer.ok().and_then(|peer| peer.as_socket());
+    peer.map_or_else(
+        || "closed connection".to_owned(),
+        |peer| format!("connection with {peer}"),
+    )
+}
+
 impl hyper::rt::Read for SocketStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -93,7 +122,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
-        AsyncWrite::poll_write(Pin::new(&mut self.socket), cx, bytes)
+        let written = AsyncWrite::poll_write(Pin::new(&mut self.socket), cx, bytes);
+        self.record_turn(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -101,7 +132,9 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        AsyncWrite::poll_write_vectored(Pin::new(&mut self.socket), cx, slices)
+        let written = AsyncWrite::poll_write_vectored(Pin::new(&mut self.socket), cx, slices);
+        self.record_turn(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
