net: a stream gives way after 16 KiB

The host answered nobody, readiness checks included, until the target stopped; 16 of 16 requests that passed their route's timeout had no answer 0.5 s later.

Cause: a stream returned bytes as long as any had arrived, and the HTTP library reads interim responses in a loop until a read has to wait. If they come faster than they are parsed, the task never waits, and the one thread runs neither other tasks nor timers.

Change: TaskTurn bounds what a task transfers on one connection, reading or writing; at its end the next read or write is pending once and the task is woken behind those that are ready. It replaces the yield of the lingering close.

--- a/crates/net/src/linger.rs
+++ b/crates/net/src/linger.rs
@@ -6,7 +6,7 @@
 use compio::driver::SharedFd;
 use futures_util::future::poll_fn;
 use socket2::Socket;
-use std::{task::Poll, time::Duration};
+use std::time::Duration;
 
 /// Longest time for which a closing connection is read.
 const LINGER_TIME: Duration = Duration::from_secs(1);
@@ -18,24 +18,8 @@
     };
     let discard = async {
         let mut bytes = vec![0; READ_SIZE];
-        while let Ok(1..) = poll_fn(|cx| stream.poll_read_bytes(cx, &mut bytes)).await {
-            yield_now().await;
-        }
+        while let Ok(1..) = poll_fn(|cx| stream.poll_read_bytes(cx, &mut bytes)).await {}
     };
     // Nothing depends on whether the client has closed the connection.
     let _ = compio::time::timeout(LINGER_TIME, discard).await;
 }
-
-// Lets other tasks run: a client that sends faster than it is read would occupy the thread.
-async fn yield_now() {
-    let mut has_yielded = false;
-    let yielded = poll_fn(|cx| {
-        if has_yielded {
-            return Poll::Ready(());
-        }
-        has_yielded = true;
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    });
-    yielded.await;
-}
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -19,6 +19,8 @@
 
 /// Largest number of bytes in one read: the initial size of hyper's read buffer.
 pub(crate) const READ_SIZE: usize = 8 * 1_024;
+/// Number of bytes that a task transfers on one connection before it gives way to others.
+const TURN_BYTES: usize = 2 * READ_SIZE;
 
 /// `SocketStream` is a connected socket.
 #[derive(Debug)]
@@ -52,7 +54,7 @@
     fn with_socket(socket: SocketFd<Socket>) -> Self {
         Self {
             socket,
-            turn: TaskTurn::default(),
+            turn: TaskTurn::new(TURN_BYTES),
         }
     }
 
@@ -62,12 +64,13 @@
     }
 
     /// Reads the bytes received so far into `bytes` and returns their number, 0 at the end of the
-    /// stream.
+    /// stream. A remote host that sends faster than the task processes does not keep others from running.
     pub fn poll_read_bytes(
         &mut self,
         cx: &mut Context<'_>,
         bytes: &mut [u8],
     ) -> Poll<Result<usize>> {
+        ready!(self.turn.poll_proceed(cx));
         let read = AsyncRead::poll_read(Pin::new(&mut self.socket), cx, bytes);
         self.record_turn(&read);
         read
@@ -122,6 +125,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
+        ready!(self.turn.poll_proceed(cx));
         let written = AsyncWrite::poll_write(Pin::new(&mut self.socket), cx, bytes);
         self.record_turn(&written);
         written
@@ -132,6 +136,7 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
+        ready!(self.turn.poll_proceed(cx));
         let written = AsyncWrite::poll_write_vectored(Pin::new(&mut self.socket), cx, slices);
         self.record_turn(&written);
         written
