net: a request takes at most 32 interim responses

Cause: nothing but the deadline bounds interim responses; the HTTP library skips them.

Change: PooledConnection::send counts them and ends the exchange with the 33rd. The outcome is unknown, the connection is reset, and the target counts as failing, so that a request that may be repeated goes to another one. The gateway and the entry host both send by it in place of two copies of the same handling.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -5,7 +5,7 @@
 use fighall_net::{
     body::OutboundBody,
     headers::REQUEST_HEADER,
-    pool::{ConnectError, ConnectionOptions, ConnectionPool, PooledConnection},
+    pool::{ConnectError, ConnectionOptions, ConnectionPool, PooledConnection, SendError},
 };
 use fighall_route::retry::AttemptResult;
 use http::{HeaderValue, Request, Response};
@@ -174,7 +174,7 @@
     if let Some(text) = text {
         connection.carried.add(text);
     }
-    let sending = connection.sender.try_send_request(request);
+    let sending = connection.send(request);
     match compio::time::timeout(left, sending).await {
         Ok(Ok(response)) => {
             if is_of_another(&response, id.as_ref()) {
@@ -184,15 +184,13 @@
             }
             Ok(response)
         }
-        Ok(Err(mut error)) => {
+        Ok(Err(error)) => {
             guard.connection = None;
-            let unsent = error.take_message().is_some();
-            let cause = error.into_error();
-            if unsent {
+            if matches!(error, SendError::NotSent { .. }) {
                 guard.running = false;
-                return Err(AttemptFailure::not_run(cause));
+                return Err(AttemptFailure::not_run(error));
             }
-            Err(AttemptFailure::may_have_run(cause))
+            Err(AttemptFailure::may_have_run(error))
         }
         Err(_) => {
             guard.connection = None;
--- a/crates/gateway/src/sender.rs
+++ b/crates/gateway/src/sender.rs
@@ -13,7 +13,7 @@
 use fighall_net::{
     body::OutboundBody,
     headers::remove_hop_by_hop,
-    pool::{ConnectError, ConnectionOptions, ConnectionPool, PooledConnection},
+    pool::{ConnectError, ConnectionOptions, ConnectionPool, PooledConnection, SendError},
     segments::SegmentedBody,
 };
 use http::{
@@ -293,29 +293,10 @@
     budget: &ResponseBudget,
     message: Request<OutboundBody>,
 ) -> (ResponseMetadata, AttemptOutcome, bool) {
-    let response = match connection.sender.try_send_request(message).await {
+    let response = match connection.send(message).await {
         Ok(response) => response,
-        Err(mut error) => {
-            let unsent = error.take_message().is_some();
-            let error = error.into_error();
-            let cause = match std::error::Error::source(&error) {
-                Some(source) => format!("{error}: {source}"),
-                None => error.to_string(),
-            };
-            let outcome = if unsent {
-                AttemptOutcome::NotSent {
-                    cause,
-                    unreachable: false,
-                    refused: false,
-                }
-            } else {
-                AttemptOutcome::Unknown {
-                    cause,
-                    timed_out: false,
-                    closed: is_connection_end(&error),
-                    stale_after: connection.idle_for,
-                }
-            };
+        Err(error) => {
+            let outcome = failed_send(&error, connection.idle_for);
             return (ResponseMetadata::default(), outcome, false);
         }
     };
@@ -342,6 +323,30 @@
     }
 }
 
+fn failed_send(error: &SendError, idle_for: Option<Duration>) -> AttemptOutcome {
+    match error {
+        SendError::NotSent { source } => AttemptOutcome::NotSent {
+            cause: describe(source),
+            unreachable: false,
+            refused: false,
+        },
+        SendError::Broken { source } => AttemptOutcome::Unknown {
+            cause: describe(source),
+            timed_out: false,
+            closed: is_connection_end(source),
+            stale_after: idle_for,
+        },
+        SendError::InterimLimit { .. } => incomplete_response(error.to_string(), false),
+    }
+}
+
+fn describe(error: &hyper::Error) -> String {
+    match std::error::Error::source(error) {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
+
 async fn read_response(
     budget: &ResponseBudget,
     response: Response<Incoming>,
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -293,6 +293,42 @@
     });
 }
 
+const HINTS: &str = "HTTP/1.1 103 Early Hints\r\nlink: </a.css>\r\n\r\n";
+
+// Regression: interim responses without end took their share of the thread until the deadline of the request.
+#[test]
+fn interim_responses_beyond_their_limit_are_given_up_at_once() {
+    run(async {
+        let address = start_server(HINTS.repeat(100).into_bytes()).await;
+        let started_at = Instant::now();
+        let outcome = read_from(address, &ResponseBudget::new(64)).await;
+        let is_broken = matches!(
+            outcome,
+            AttemptOutcome::Unknown {
+                timed_out: false,
+                closed: false,
+                ..
+            }
+        );
+        assert!(is_broken, "{outcome:?} after {:?}", started_at.elapsed());
+    });
+}
+
+// Guards the limit: a few interim responses are skipped.
+#[test]
+fn a_response_behind_some_interim_ones_is_returned() {
+    run(async {
+        let response = "HTTP/1.1 404 Not Found\r\nfighall-passed: m1\r\ncontent-length: 1\r\n\r\na";
+        let interim = format!("HTTP/1.1 100 Continue\r\n\r\n{}", HINTS.repeat(20));
+        let address = start_server(format!("{interim}{response}").into_bytes()).await;
+        let outcome = read_from(address, &ResponseBudget::new(64)).await;
+        let AttemptOutcome::Answered(response) = outcome else {
+            panic!("{outcome:?}");
+        };
+        assert_eq!(response.status.as_u16(), 404);
+    });
+}
+
 // Regression: a body no longer counted once it was complete, while its caller read slowly or another attempt was made.
 #[test]
 fn a_body_counts_until_it_has_been_delivered() {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod errors;
 pub mod framing;
 pub mod headers;
+mod interim;
 mod linger;
 pub mod listener;
 pub mod memory;
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -4,15 +4,22 @@
 //! response cannot be taken for that of a later attempt.
 
 use crate::{
-    body::OutboundBody, carried::CarriedRequests, opener::ConnectionOpener, reset::ExchangeReset,
+    body::OutboundBody,
+    carried::CarriedRequests,
+    interim::{MAX_INTERIM_RESPONSES, listen_excess},
+    opener::ConnectionOpener,
+    reset::ExchangeReset,
 };
 use fighall_core::{clock::boot_time, ids::BootTime, value};
-use hyper::client::conn::http1::SendRequest;
+use futures_util::{FutureExt, select_biased};
+use http::{Request, Response};
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use snafu::Snafu;
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
     net::{IpAddr, SocketAddr},
+    pin::pin,
     rc::Rc,
     time::Duration,
 };
@@ -51,6 +58,29 @@
     },
 }
 
+/// `SendError` is the reason why there is no response to a request. The connection cannot be used again.
+#[derive(Debug, Snafu)]
+pub enum SendError {
+    /// The connection closed before it took the request.
+    #[snafu(display("the request was not sent: {source}"))]
+    NotSent {
+        /// Error of the connection.
+        source: hyper::Error,
+    },
+    /// The connection failed; the request may have run.
+    #[snafu(display("{source}"))]
+    Broken {
+        /// Error of the connection.
+        source: hyper::Error,
+    },
+    /// The remote host sent too many interim responses; the request may have run.
+    #[snafu(display("more than {limit} interim responses"))]
+    InterimLimit {
+        /// The limit.
+        limit: usize,
+    },
+}
+
 value! {
     /// `ConnectionOptions` holds the conditions for taking a connection from the pool.
     #[derive(Copy)]
@@ -121,6 +151,32 @@
 }
 
 impl PooledConnection {
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no response; the connection must be dropped then.
+    pub async fn send(
+        &mut self,
+        mut request: Request<OutboundBody>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let mut excess = listen_excess(&mut request).fuse();
+        let mut response = pin!(self.sender.try_send_request(request).fuse());
+        select_biased! {
+            response = response => response.map_err(|mut error| {
+                let is_unsent = error.take_message().is_some();
+                let source = error.into_error();
+                if is_unsent {
+                    return SendError::NotSent { source };
+                }
+                SendError::Broken { source }
+            }),
+            () = excess => Err(SendError::InterimLimit {
+                limit: MAX_INTERIM_RESPONSES,
+            }),
+        }
+    }
+
     /// Ends the exchange in order: the connection is not reset if it is dropped instead of returned to the pool.
     pub fn end_exchange(&self) {
         self.reset.disarm();
