net: a connection frames at most the 16 requests that may run ahead

Cause: each request of a connection owns its bytes since, and all that were read ahead were framed. 8 KiB hold some fifty small requests, each with an allocation of its own that doubled with the first byte of its body.

Change: no more requests are framed than may run concurrently; what is behind them stays in one piece until one of them is handed over. Bytes are kept in allocations of their size.

--- a/crates/net/src/pipeline.rs
+++ b/crates/net/src/pipeline.rs
@@ -193,7 +193,8 @@
 
     // Hands the bytes to hyper that it may read now. Returns their number.
     fn hand_over(&self, cursor: &mut ReadBufCursor<'_>) -> usize {
-        let length = self.queue.borrow_mut().hand_over(cursor);
+        let max_head_bytes = self.head_limits.max_bytes;
+        let length = self.queue.borrow_mut().hand_over(cursor, max_head_bytes);
         if length > 0 {
             self.response_count.changed.notify(usize::MAX);
         }
--- a/crates/net/src/request_queue.rs
+++ b/crates/net/src/request_queue.rs
@@ -9,7 +9,7 @@
 use hyper::rt::ReadBufCursor;
 use std::collections::VecDeque;
 
-/// Largest number of requests on one connection that run concurrently with the first one.
+/// Largest number of requests on one connection that run concurrently with the first one, and that are framed.
 const MAX_CONCURRENT: usize = 16;
 
 // The part of a request's body that was not received yet.
@@ -108,11 +108,11 @@
 /// `RequestQueue` holds the requests of a connection until each one was answered.
 #[derive(Debug, Default)]
 pub(crate) struct RequestQueue {
-    // The request that is being handed over or served, and those behind it.
+    // The request that is being handed over or served, and the next ones behind it.
     current: Option<FramedRequest>,
     waiting: VecDeque<FramedRequest>,
     received_count: u64,
-    // The incomplete head behind all of them, or bytes that cannot be framed.
+    // The bytes behind them: further requests, an incomplete head, or bytes that cannot be framed.
     rest: Vec<u8>,
     unframed: bool,
     stopping: bool,
@@ -125,13 +125,15 @@
         let mut rest = std::mem::take(&mut self.rest);
         let mut left = bytes;
         if !rest.is_empty() {
+            rest.reserve_exact(bytes.len());
             rest.extend_from_slice(bytes);
             left = &rest;
         }
-        while !left.is_empty() && !self.unframed {
+        while !left.is_empty() && !self.unframed && self.waiting.len() < MAX_CONCURRENT {
             let length = match self.incomplete_request() {
                 Some(request) => {
                     let (length, well_formed) = request.missing.receive(left);
+                    request.bytes.reserve_exact(length);
                     request.bytes.extend_from_slice(&left[..length]);
                     // The HTTP library rejects a malformed body when it reaches it.
                     self.unframed = !well_formed;
@@ -159,8 +161,12 @@
 
     /// Hands over the bytes that may be read now: those of the current request, or all if they cannot be framed.
     /// Returns their number.
-    pub(crate) fn hand_over(&mut self, cursor: &mut ReadBufCursor<'_>) -> usize {
-        self.begin_next();
+    pub(crate) fn hand_over(
+        &mut self,
+        cursor: &mut ReadBufCursor<'_>,
+        max_head_bytes: usize,
+    ) -> usize {
+        self.begin_next(max_head_bytes);
         let bytes = match &mut self.current {
             Some(request) if !request.is_handed_over() => &mut request.bytes,
             _ if self.unframed && self.waiting.is_empty() => &mut self.rest,
@@ -185,8 +191,7 @@
             is_allowed &= request.allows_concurrency();
             may_start
         };
-        let next = self.waiting.iter_mut().take(MAX_CONCURRENT);
-        next.take_while(may_start)
+        self.waiting.iter_mut().take_while(may_start)
     }
 
     /// Takes the task of the current request, if it was started ahead of its turn.
@@ -263,11 +268,14 @@
         last.filter(|request| !request.is_received())
     }
 
-    fn begin_next(&mut self) {
+    fn begin_next(&mut self, max_head_bytes: usize) {
         if !self.current.as_ref().is_none_or(is_finished) || self.must_not_begin_next() {
             return;
         }
         self.current = self.waiting.pop_front();
+        if !self.rest.is_empty() {
+            self.append(&[], max_head_bytes);
+        }
         if self.waiting.is_empty() {
             self.waiting = VecDeque::new();
         }
