store: calls use the connections of fighall-net, with limits on their responses

The client of the store had streams of its own, on which nothing bounds a turn, interim responses or the size of a response.

Change: net::call sends a request on a pooled connection and reads its response up to a limit (8 MiB for the store, whose pages are far smaller; 16 MiB for copies). The client of the store and the copies use it.

--- a/crates/gateway/src/follow/peer_copies.rs
+++ b/crates/gateway/src/follow/peer_copies.rs
@@ -6,12 +6,14 @@
     copies::ChangeSource,
     message::{FollowedKind, KindCopy},
 };
+use bytes::Bytes;
 use fighall_core::{
     clock::boot_time,
     ids::{BootTime, Version},
 };
+use fighall_net::{call::call, pool::ConnectionPool};
 use fighall_store::era::era_of;
-use http::StatusCode;
+use http::{Request, StatusCode, header::HOST};
 use slog::{info, warn};
 use snafu::Snafu;
 use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
@@ -20,6 +22,8 @@
 const COPIES_PATH: &str = "/copies/";
 /// Time within which a copy is received.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Largest copy, in bytes.
+const MAX_COPY_BYTES: usize = 16 << 20;
 /// Kinds that are fetched, with the names in their paths. Hosts are known by their heartbeats.
 const FETCHED_KINDS: [(FollowedKind, &str); 3] = [
     (FollowedKind::Policy, "policy"),
@@ -166,17 +170,18 @@
 
 // Fetches are rare, so that no connection is kept for them.
 async fn request_copy(kind: FollowedKind, address: SocketAddr) -> Result<KindCopy, FetchError> {
-    let http = cyper::Client::builder().no_proxy().build();
-    let http = http.map_err(FetchError::exchange)?;
     let path = path_of_kind(kind).unwrap_or_default();
-    let request = http.get(format!("http://{address}{path}"));
-    let response = request.map_err(FetchError::exchange)?.send().await;
+    let request = Request::get(path).header(HOST, address.to_string());
+    let request = request.body(Bytes::new()).map_err(FetchError::exchange)?;
+    let pool = ConnectionPool::new();
+    let response = call(&pool, address, &request).await;
     let response = response.map_err(FetchError::exchange)?;
-    let status = response.status();
+    let status = response.head.status;
     if !status.is_success() {
         return Err(FetchError::Status { status });
     }
-    let body = response.bytes().await.map_err(FetchError::exchange)?;
+    let body = response.read_to_end(&pool, MAX_COPY_BYTES).await;
+    let body = body.map_err(FetchError::exchange)?;
     let copy: KindCopy = ciborium::from_reader(&body[..]).map_err(|error| {
         let cause = error.to_string();
         FetchError::Decode { cause }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod body;
+pub mod call;
 pub mod carried;
 pub mod chunks;
 pub mod connections;
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -324,6 +324,13 @@
         }
     }
 
+    /// Closes the idle connections to all addresses.
+    pub fn close_all_idle(&self) {
+        for pool in self.addresses.borrow_mut().values_mut() {
+            pool.idle.clear();
+        }
+    }
+
     /// Closes all idle connections to an address, if one is given.
     pub fn close_idle_to(&self, address: Option<SocketAddr>) {
         if let Some(address) = address {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -20,9 +20,11 @@
     ids::{BootTime, Version},
     value,
 };
+use fighall_net::pool::ConnectionPool;
 use http::StatusCode;
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -104,8 +106,9 @@
 /// `StoreClient` is an asynchronous client of the store. A call suspends only the calling task.
 pub struct StoreClient {
     options: ClientOptions,
+    addresses: Vec<SocketAddr>,
     mapping: StoreMapping,
-    http: RefCell<cyper::Client>,
+    pool: ConnectionPool,
     budget: RefCell<CallBudget>,
     stats: RefCell<CallStats>,
     rng: RefCell<fastrand::Rng>,
@@ -127,16 +130,19 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the HTTP client cannot be built.
+    /// Returns an error if an address is not valid.
     pub fn new(options: ClientOptions) -> Result<Self> {
-        let http = RefCell::new(new_http_client()?);
+        let addresses = options.addresses.iter();
+        let addresses: std::result::Result<Vec<SocketAddr>, _> =
+            addresses.map(|address| address.parse()).collect();
         Ok(Self {
+            addresses: addresses.map_err(Error::exchange)?,
             budget: RefCell::new(CallBudget::new(options.calls_per_second, boot_time())),
             stats: RefCell::new(CallStats::default()),
             rng: RefCell::new(fastrand::Rng::new()),
             era: Cell::new(None),
             era_changed: Event::new(),
-            http,
+            pool: ConnectionPool::new(),
             mapping: StoreMapping::default(),
             options,
         })
@@ -236,13 +242,6 @@
     }
 }
 
-fn new_http_client() -> Result<cyper::Client> {
-    cyper::Client::builder()
-        .no_proxy()
-        .build()
-        .map_err(Error::exchange)
-}
-
 fn unexpected_status(status: StatusCode) -> Error {
     Error::Status {
         status: status.as_u16(),
--- a/crates/store/src/client/calls.rs
+++ b/crates/store/src/client/calls.rs
@@ -1,14 +1,22 @@
 //! Execution of calls: rate limit, timeouts and retries.
 
-use super::{RawResponse, StoreClient, new_http_client, unexpected_status};
+use super::{RawResponse, StoreClient, unexpected_status};
 use crate::{
     era::era_of,
     errors::{Error, Result},
-    mapping::StoreCall,
+    mapping::{RequestParts, StoreCall},
 };
+use bytes::Bytes;
 use fighall_core::{clock::boot_time, ids::BootTime};
-use http::StatusCode;
-use std::time::Duration;
+use fighall_net::call;
+use http::{
+    Request, StatusCode,
+    header::{CONTENT_TYPE, HOST},
+};
+use std::{net::SocketAddr, time::Duration};
+
+/// Largest body of a response, in bytes: several times the largest page of a list.
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
 impl StoreClient {
     pub(super) async fn call_with_retries(&self, call: &StoreCall) -> Result<RawResponse> {
@@ -60,9 +68,7 @@
     /// Drops the idle connections, which may have gone silent, so that later calls open new ones. Calls in
     /// progress keep theirs.
     pub fn drop_idle_connections(&self) {
-        if let Ok(http) = new_http_client() {
-            self.http.replace(http);
-        }
+        self.pool.close_all_idle();
     }
 
     // Revisions are reused in a new era: one of an earlier era may identify another value.
@@ -96,37 +102,24 @@
         }
     }
 
-    pub(super) fn address(&self) -> &str {
+    // Gets the address of the next call; another one after each failure.
+    fn address(&self) -> Result<SocketAddr> {
         let failures = usize::try_from(self.stats.borrow().consecutive_failures).unwrap_or(0);
-        let addresses = &self.options.addresses;
-        let address = addresses.get(failures % addresses.len().max(1));
-        address.map_or("", String::as_str)
+        let index = failures % self.addresses.len().max(1);
+        let address = self.addresses.get(index).copied();
+        address.ok_or_else(|| Error::exchange("the store has no address"))
     }
 
     pub(super) async fn exchange(&self, call: &StoreCall) -> Result<RawResponse> {
-        let parts = (self.mapping.parts)(call);
-        let url = format!("http://{}{}", self.address(), parts.path_and_query);
-        let http = self.http.borrow().clone();
-        let mut request = http.request(parts.method, url).map_err(Error::exchange)?;
-        if let Some(precondition) = &parts.precondition {
-            request = request
-                .header(precondition.header.as_str(), precondition.value.as_str())
-                .map_err(Error::exchange)?;
-        }
-        if !parts.body.is_empty() {
-            request = request
-                .header("content-type", "application/json")
-                .map_err(Error::exchange)?;
-        }
-        let response = request
-            .body(parts.body)
-            .send()
-            .await
-            .map_err(Error::exchange)?;
-        let status = response.status();
-        let era = (self.mapping.era)(response.headers()).unwrap_or_else(|| self.era());
+        let address = self.address()?;
+        let request = build_request((self.mapping.parts)(call), address)?;
+        let response = call::call(&self.pool, address, &request).await;
+        let response = response.map_err(Error::exchange)?;
+        let status = response.head.status;
+        let era = (self.mapping.era)(&response.head.headers).unwrap_or_else(|| self.era());
         self.record_era(era);
-        let body = response.bytes().await.map_err(Error::exchange)?;
+        let body = response.read_to_end(&self.pool, MAX_RESPONSE_BYTES).await;
+        let body = body.map_err(Error::exchange)?;
         if era < self.era() {
             return Err(Error::Outdated { era });
         }
@@ -134,6 +127,21 @@
     }
 }
 
+fn build_request(parts: RequestParts, address: SocketAddr) -> Result<Request<Bytes>> {
+    let mut request = Request::builder()
+        .method(parts.method)
+        .uri(parts.path_and_query)
+        .header(HOST, address.to_string());
+    if let Some(precondition) = parts.precondition {
+        request = request.header(precondition.header.as_str(), precondition.value.as_str());
+    }
+    if !parts.body.is_empty() {
+        request = request.header(CONTENT_TYPE, "application/json");
+    }
+    let body = Bytes::from(parts.body);
+    request.body(body).map_err(Error::exchange)
+}
+
 // The store is overloaded or down and did not process the call.
 fn is_retryable(status: StatusCode) -> bool {
     status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS
