peer: links between entry hosts give way like other connections

Cause: links had streams of the runtime's library, which return bytes as long as any arrived.

Change: links use SocketStream, which implements the I/O traits of futures as well.

--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -1,4 +1,4 @@
-//! Adapter from sockets to hyper's I/O traits. It has no buffers of its own: hyper already has some for
+//! Adapter from sockets to the I/O traits of hyper and of futures. It has no buffers of its own: hyper already has some for
 //! each connection, and a host has hundreds of connections.
 
 use compio::{
@@ -76,6 +76,13 @@
         read
     }
 
+    fn poll_write_bytes(&mut self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
+        ready!(self.turn.poll_proceed(cx));
+        let written = AsyncWrite::poll_write(Pin::new(&mut self.socket), cx, bytes);
+        self.record_turn(&written);
+        written
+    }
+
     fn record_turn(&mut self, transferred: &Poll<Result<usize>>) {
         let Self { socket, turn } = self;
         match transferred {
@@ -119,16 +126,42 @@
     }
 }
 
+impl AsyncRead for SocketStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &mut [u8],
+    ) -> Poll<Result<usize>> {
+        self.poll_read_bytes(cx, bytes)
+    }
+}
+
+impl AsyncWrite for SocketStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        self.poll_write_bytes(cx, bytes)
+    }
+
+    // Writes go to the socket directly; there is nothing to flush.
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        AsyncWrite::poll_close(Pin::new(&mut self.socket), cx)
+    }
+}
+
 impl hyper::rt::Write for SocketStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
-        ready!(self.turn.poll_proceed(cx));
-        let written = AsyncWrite::poll_write(Pin::new(&mut self.socket), cx, bytes);
-        self.record_turn(&written);
-        written
+        self.poll_write_bytes(cx, bytes)
     }
 
     fn poll_write_vectored(
@@ -146,12 +179,11 @@
         true
     }
 
-    // Writes go to the socket directly; there is nothing to flush.
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
-        Poll::Ready(Ok(()))
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        AsyncWrite::poll_flush(self, cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        AsyncWrite::poll_close(Pin::new(&mut self.socket), cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        AsyncWrite::poll_close(self, cx)
     }
 }
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,10 +1,10 @@
 //! CBOR messages over WebSocket on a compio stream.
 
 use crate::errors::{Error, Result};
-use compio::{io::compat::AsyncStream, net::TcpStream};
+use compio::net::TcpStream;
+use fighall_net::stream::SocketStream;
 use futures_util::{SinkExt, StreamExt};
 use serde::{Serialize, de::DeserializeOwned};
-use std::pin::Pin;
 use tokio_tungstenite::{
     WebSocketStream,
     tungstenite::{Message, protocol::WebSocketConfig},
@@ -18,7 +18,7 @@
 /// larger buffer costs more than the reads it would save.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 
-type LinkStream = Compat<Pin<Box<AsyncStream<TcpStream>>>>;
+type LinkStream = Compat<SocketStream>;
 
 /// `MessageLink` sends and receives messages over one WebSocket.
 pub struct MessageLink {
@@ -38,7 +38,7 @@
     ///
     /// Returns an error if the handshake fails.
     pub async fn new_dialled(tcp: TcpStream) -> Result<Self> {
-        let stream = link_stream(tcp);
+        let stream = link_stream(tcp)?;
         let (socket, _) = tokio_tungstenite::client_async_with_config(
             "ws://fighall/peers",
             stream,
@@ -55,7 +55,7 @@
     ///
     /// Returns an error if the handshake fails.
     pub async fn new_accepted(tcp: TcpStream) -> Result<Self> {
-        let stream = link_stream(tcp);
+        let stream = link_stream(tcp)?;
         let socket = tokio_tungstenite::accept_async_with_config(stream, Some(websocket_config()))
             .await
             .map_err(Error::link)?;
@@ -112,8 +112,9 @@
     }
 }
 
-fn link_stream(tcp: TcpStream) -> LinkStream {
-    Box::pin(AsyncStream::new(tcp)).compat()
+fn link_stream(tcp: TcpStream) -> Result<LinkStream> {
+    let stream = SocketStream::new(tcp).map_err(Error::link)?;
+    Ok(stream.compat())
 }
 
 fn websocket_config() -> WebSocketConfig {
