net: announced lengths are compared with their limits, never added

Cause: the framing added the lengths of requests to find the next one.

Evidence: on the new test, built with checks of overflow, panics ten times at pipeline.rs:323, 'attempt to add with overflow', and 34 of its 45 cases fail.

Change: the framing decides on the length for all readers, as one field of at most 2^63 - 1 bytes; chunk sizes are compared with the policy's current limit digit by digit and end the body with an error of their own, which is 413. Bodies of targets and of the store that are announced beyond their limits are given up at once.

Two expectations of framing.rs are replaced, as they were wrong: a list of equal lengths is one length (RFC 9112, section 6.3), with four malformed ones added in its place; a chunk of 16 digits is not malformed but too large, which a test of its own checks to the digit.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -444,6 +444,7 @@
         max_head_bytes: limits.max_head_bytes + REQUEST_LINE_ALLOWANCE,
         head_timeout: limits.head_timeout,
         idle_timeout: limits.idle_timeout,
+        max_body_bytes: limits.max_body_bytes,
     }
 }
 
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -9,7 +9,7 @@
     memory::{MemoryBudget, ReservedBytes},
 };
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use snafu::Snafu;
 use std::{io::ErrorKind, rc::Rc};
 
@@ -78,6 +78,11 @@
     ///
     /// Returns an error if the body was truncated, is too large, or the budget is used up.
     pub async fn read_to_end(&self, mut body: Incoming) -> Result<Bytes, BodyError> {
+        let max_bytes = u64::try_from(MAX_RESPONSE_BYTES).unwrap_or(u64::MAX);
+        if body.size_hint().lower() > max_bytes {
+            let cause = format!("the announced body exceeds {MAX_RESPONSE_BYTES} bytes");
+            return Err(BodyError::TooLarge { cause });
+        }
         let mut buffer = BudgetBuffer {
             bytes: Vec::new(),
             reserved: ReservedBytes::new(&self.budget),
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -293,6 +293,37 @@
     });
 }
 
+// Regression: a body that was announced beyond its limit was read up to it, for as long as the request had time.
+#[test]
+fn a_body_announced_beyond_its_limit_is_given_up_at_once() {
+    let lengths = [
+        "16777217",
+        "9223372036854775807",
+        "18446744073709551613",
+        "18446744073709551614",
+        "18446744073709551615",
+        "18446744073709551616",
+        "99999999999999999999999999",
+        "18446744073709551615, 18446744073709551615",
+    ];
+    run(async {
+        for length in lengths {
+            let head = "HTTP/1.1 404 Not Found\r\nfighall-passed: m1\r\n";
+            let response = format!("{head}content-length: {length}\r\n\r\na");
+            let address = start_server(response.into_bytes()).await;
+            let outcome = read_from(address, &ResponseBudget::new(64)).await;
+            let is_given_up = matches!(
+                outcome,
+                AttemptOutcome::Unknown {
+                    timed_out: false,
+                    ..
+                }
+            );
+            assert!(is_given_up, "{length}: {outcome:?}");
+        }
+    });
+}
+
 const HINTS: &str = "HTTP/1.1 103 Early Hints\r\nlink: </a.css>\r\n\r\n";
 
 // Regression: interim responses without end took their share of the thread until the deadline of the request.
--- a/crates/net/src/call.rs
+++ b/crates/net/src/call.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{Request, response::Parts};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use snafu::{ResultExt, Snafu};
 use std::{net::SocketAddr, time::Duration};
 
@@ -87,6 +87,11 @@
         pool: &ConnectionPool,
         max_bytes: usize,
     ) -> Result<Bytes, CallError> {
+        let announced_bytes = self.body.size_hint().lower();
+        if usize::try_from(announced_bytes).map_or(true, |bytes| bytes > max_bytes) {
+            let cause = format!("{announced_bytes} bytes are announced, {max_bytes} allowed");
+            return Err(CallError::Body { cause });
+        }
         let body = Limited::new(self.body, max_bytes).collect().await;
         let body = body.map_err(|error| CallError::Body {
             cause: error.to_string(),
--- a/crates/net/src/chunks.rs
+++ b/crates/net/src/chunks.rs
@@ -1,7 +1,7 @@
 //! Scanning of chunked bodies: finds where a body ends in the bytes of a connection (RFC 9112, section 7.1).
 
-/// Largest number of digits of a chunk's size.
-const MAX_SIZE_DIGITS: u32 = 15;
+/// Largest number of digits of a chunk's size, with leading zeros.
+const MAX_SIZE_DIGITS: u32 = 100;
 /// Largest number of bytes of a chunk extension or of a trailer line.
 const MAX_LINE_BYTES: u64 = 4_096;
 
@@ -14,6 +14,8 @@
     Complete(usize),
     /// The bytes are not a chunked body.
     Malformed,
+    /// The announced sizes exceed the limit with the digit behind this number of bytes.
+    TooLarge(usize),
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,19 +34,22 @@
 #[derive(Debug)]
 pub struct ChunkScanner {
     state: ScanState,
+    // Sum of the sizes of the chunks before the current one, which is within the limit.
+    announced_bytes: u64,
 }
 
 impl Default for ChunkScanner {
     fn default() -> Self {
         Self {
             state: ScanState::Size { size: 0, digits: 0 },
+            announced_bytes: 0,
         }
     }
 }
 
 impl ChunkScanner {
-    /// Scans the next bytes.
-    pub fn scan(&mut self, bytes: &[u8]) -> ScanResult {
+    /// Scans the next bytes of a body whose chunks have at most `max_bytes` together.
+    pub fn scan(&mut self, bytes: &[u8], max_bytes: u64) -> ScanResult {
         let mut position = 0;
         while let Some(byte) = bytes.get(position) {
             if let ScanState::Data { left } = &mut self.state {
@@ -64,6 +69,14 @@
             let Some(state) = next_state(self.state, *byte) else {
                 return ScanResult::Malformed;
             };
+            if let ScanState::Size { size, .. } = state
+                && size > max_bytes.saturating_sub(self.announced_bytes)
+            {
+                return ScanResult::TooLarge(position - 1);
+            }
+            if let ScanState::Data { left } = state {
+                self.announced_bytes += left;
+            }
             self.state = state;
         }
         ScanResult::Partial
@@ -75,7 +88,7 @@
     let next = match (state, byte) {
         (ScanState::Size { size, digits }, _) if byte.is_ascii_hexdigit() => {
             let digit = char::from(byte).to_digit(16)?;
-            let size = size * 16 + u64::from(digit);
+            let size = size.saturating_mul(16).saturating_add(u64::from(digit));
             let digits = digits + 1;
             return (digits <= MAX_SIZE_DIGITS).then_some(ScanState::Size { size, digits });
         }
--- a/crates/net/src/errors.rs
+++ b/crates/net/src/errors.rs
@@ -21,3 +21,8 @@
 
 /// `Result` has this module's [`Error`].
 pub type Result<T> = std::result::Result<T, Error>;
+
+/// `BodyTooLarge` is the error of reading a body whose chunks exceed the limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("the announced chunks exceed the limit on bodies"))]
+pub struct BodyTooLarge;
--- a/crates/net/src/framing.rs
+++ b/crates/net/src/framing.rs
@@ -1,7 +1,7 @@
 //! Framing of pipelined requests: finds where each request ends in the bytes of a connection (RFC 9112,
 //! section 6).
 
-use crate::listener::MAX_HEADERS;
+use crate::{announced::AnnouncedLength, listener::MAX_HEADERS};
 use http::{
     HeaderName, HeaderValue, Method, Request, Version,
     header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING, UPGRADE},
@@ -17,6 +17,9 @@
     pub head_length: usize,
     /// Length of the body in bytes; 0 for a chunked body.
     pub body_length: u64,
+    /// Whether the head announces its length in another way than with one field that every reader takes for this
+    /// length.
+    pub has_ambiguous_length: bool,
     /// Whether the body is chunked.
     pub is_chunked: bool,
     /// Whether the method is safe (RFC 9110, section 9.2.1).
@@ -77,6 +80,24 @@
     Some(parts)
 }
 
+/// Writes the complete head at the start of `bytes` anew, with one field for a body of `body_length`. Returns nothing if
+/// the head is malformed.
+pub fn with_single_length(bytes: &[u8], body_length: u64) -> Option<Vec<u8>> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    parsed.parse(bytes).ok()?;
+    let (method, path) = (parsed.method?, parsed.path?);
+    let mut head = format!("{method} {path} {:?}\r\n", version(&parsed)).into_bytes();
+    for header in parsed.headers.iter() {
+        if !header.name.eq_ignore_ascii_case(CONTENT_LENGTH.as_str()) {
+            let line = [header.name.as_bytes(), b": ", header.value, b"\r\n"];
+            head.extend(line.concat());
+        }
+    }
+    head.extend(format!("{CONTENT_LENGTH}: {body_length}\r\n\r\n").as_bytes());
+    Some(head)
+}
+
 fn version(parsed: &httparse::Request<'_, '_>) -> Version {
     match parsed.version {
         Some(1) => Version::HTTP_11,
@@ -86,7 +107,7 @@
 
 fn determine_frame(parsed: &httparse::Request<'_, '_>, head_length: usize) -> Option<RequestFrame> {
     let method: Method = parsed.method?.parse().ok()?;
-    let mut body_length = None;
+    let mut announced = AnnouncedLength::default();
     let mut is_chunked = false;
     let mut closes_connection = version(parsed) != Version::HTTP_11;
     for header in parsed.headers.iter() {
@@ -102,10 +123,7 @@
             }
             is_chunked = true;
         } else if is_header(&CONTENT_LENGTH) {
-            let length: u64 = text.ok()?.trim().parse().ok()?;
-            if body_length.replace(length).is_some() {
-                return None;
-            }
+            announced.add_field(text.ok()?)?;
         } else if is_header(&CONNECTION) {
             let mut options = text.ok()?.split(',');
             closes_connection |= options.any(|option| option.trim().eq_ignore_ascii_case("close"));
@@ -113,12 +131,13 @@
     }
     // The end of such a request is not certain (RFC 9112, sections 6.1 and 6.3).
     let is_old = version(parsed) != Version::HTTP_11;
-    if is_chunked && (is_old || body_length.is_some()) {
+    if is_chunked && (is_old || announced.is_present()) {
         return None;
     }
     (method != Method::CONNECT).then_some(RequestFrame {
         head_length,
-        body_length: body_length.unwrap_or(0),
+        body_length: announced.bytes(),
+        has_ambiguous_length: announced.is_ambiguous(),
         is_chunked,
         is_safe: method.is_safe(),
         closes_connection,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+mod announced;
 pub mod body;
 pub mod call;
 pub mod carried;
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -52,6 +52,10 @@
     pub head_timeout: Duration,
     /// Longest time to wait for a request.
     pub idle_timeout: Duration,
+    /// Largest body of a request, in bytes. A chunk beyond it ends the body with [`BodyTooLarge`].
+    ///
+    /// [`BodyTooLarge`]: crate::errors::BodyTooLarge
+    pub max_body_bytes: usize,
 }
 
 impl Default for ListenerLimits {
@@ -60,6 +64,7 @@
             max_head_bytes: DEFAULT_HEAD_BYTES,
             head_timeout: DEFAULT_HEAD_TIMEOUT,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            max_body_bytes: usize::MAX,
         }
     }
 }
@@ -132,14 +137,15 @@
     kernel: Rc<MicroKernel>,
     listener: TcpListener,
     connections: Rc<ConnectionTable>,
-    limits: impl Fn() -> ListenerLimits,
+    limits: impl Fn() -> ListenerLimits + 'static,
     handler: H,
 ) where
     H: Fn(Request<IncomingBody>, RequestTurn) -> F + Clone + 'static,
     F: Future<Output = Response<ProxyBody>> + 'static,
 {
+    let limits: Rc<dyn Fn() -> ListenerLimits> = Rc::new(limits);
     let serve_stream = |kernel: Rc<MicroKernel>, accepted| {
-        let (limits, handler) = (limits(), handler.clone());
+        let (limits, handler) = (Rc::clone(&limits), handler.clone());
         async move { serve_connection(&kernel, accepted, limits, handler).await }
     };
     accept(kernel, listener, connections, serve_stream).await;
@@ -148,19 +154,22 @@
 async fn serve_connection<H, F>(
     kernel: &MicroKernel,
     accepted: AcceptedConnection,
-    limits: ListenerLimits,
+    current_limits: Rc<dyn Fn() -> ListenerLimits>,
     handler: H,
 ) where
     H: Fn(Request<IncomingBody>, RequestTurn) -> F + Clone + 'static,
     F: Future<Output = Response<ProxyBody>> + 'static,
 {
+    let limits = current_limits();
     let early_handler = handler.clone();
     let start_early = move |parts, turn| {
         let request = Request::from_parts(parts, IncomingBody::Right(Empty::new()));
         early_handler(request, turn).boxed_local()
     };
     let number = accepted.slot.number();
-    let pipeline = RequestPipeline::new(number, Box::new(start_early), limits.head_limits());
+    let body_limit = Box::new(move || current_limits().max_body_bytes);
+    let head_limits = limits.head_limits();
+    let pipeline = RequestPipeline::new(number, Box::new(start_early), head_limits, body_limit);
     let pipeline = Rc::new(pipeline);
     accepted.slot.connection().set_phase({
         let pipeline = Rc::clone(&pipeline);
--- a/crates/net/src/pipeline.rs
+++ b/crates/net/src/pipeline.rs
@@ -2,8 +2,14 @@
 //! served (RFC 9112, section 9.3.2). Responses are sent in the order of the requests.
 
 use crate::{
-    body::ProxyBody, connections::ConnectionPhase, framing::parse_head,
-    request_queue::RequestQueue, stream::READ_SIZE, tracked::TrackedStream,
+    announced::MAX_LENGTH,
+    body::ProxyBody,
+    connections::ConnectionPhase,
+    errors::BodyTooLarge,
+    framing::parse_head,
+    request_queue::{QueueLimits, RequestQueue},
+    stream::READ_SIZE,
+    tracked::TrackedStream,
 };
 use compio::runtime::JoinHandle;
 use event_listener::Event;
@@ -73,6 +79,9 @@
     }
 }
 
+/// `BodyLimit` gets the largest body of a request in bytes, which may change while a connection is open.
+pub type BodyLimit = Box<dyn Fn() -> usize>;
+
 /// `HeadLimits` are the limits on the head of a request.
 #[derive(Debug, Clone, Copy)]
 pub struct HeadLimits {
@@ -88,6 +97,7 @@
     response_count: Rc<ResponseCount>,
     handler: EarlyHandler,
     head_limits: HeadLimits,
+    body_limit: BodyLimit,
     connection: u64,
 }
 
@@ -102,13 +112,27 @@
 impl RequestPipeline {
     /// Creates the pipeline of a new connection with its number; `handler` handles requests that start
     /// ahead of their turn.
-    pub fn new(connection: u64, handler: EarlyHandler, head_limits: HeadLimits) -> Self {
+    pub fn new(
+        connection: u64,
+        handler: EarlyHandler,
+        head_limits: HeadLimits,
+        body_limit: BodyLimit,
+    ) -> Self {
         Self {
             connection,
             queue: RefCell::new(RequestQueue::default()),
             response_count: Rc::new(ResponseCount::default()),
             handler,
             head_limits,
+            body_limit,
+        }
+    }
+
+    fn limits(&self) -> QueueLimits {
+        QueueLimits {
+            head_bytes: self.head_limits.max_bytes,
+            body_bytes: u64::try_from((self.body_limit)())
+                .map_or(MAX_LENGTH, |limit| limit.min(MAX_LENGTH)),
         }
     }
 
@@ -192,13 +216,16 @@
     }
 
     // Hands the bytes to hyper that it may read now. Returns their number.
-    fn hand_over(&self, cursor: &mut ReadBufCursor<'_>) -> usize {
-        let max_head_bytes = self.head_limits.max_bytes;
-        let length = self.queue.borrow_mut().hand_over(cursor, max_head_bytes);
+    fn hand_over(
+        &self,
+        cursor: &mut ReadBufCursor<'_>,
+    ) -> std::result::Result<usize, BodyTooLarge> {
+        let limits = self.limits();
+        let length = self.queue.borrow_mut().hand_over(cursor, limits)?;
         if length > 0 {
             self.response_count.changed.notify(usize::MAX);
         }
-        length
+        Ok(length)
     }
 
     fn is_full(&self) -> bool {
@@ -275,7 +302,7 @@
     ) -> Poll<Result<()>> {
         let pipeline = Rc::clone(&self.pipeline);
         loop {
-            let length = pipeline.hand_over(&mut cursor);
+            let length = pipeline.hand_over(&mut cursor).map_err(Error::other)?;
             pipeline.start_early();
             let (held_bytes, awaits_response) = {
                 let queue = pipeline.queue.borrow();
@@ -302,13 +329,12 @@
             if read == 0 {
                 if !awaits_response {
                     pipeline.queue.borrow_mut().end();
-                    pipeline.hand_over(&mut cursor);
+                    pipeline.hand_over(&mut cursor).map_err(Error::other)?;
                 }
                 return Poll::Ready(Ok(()));
             }
-            let max_head_bytes = pipeline.head_limits.max_bytes;
-            let mut queue = pipeline.queue.borrow_mut();
-            queue.append(&bytes[..read], max_head_bytes);
+            let limits = pipeline.limits();
+            pipeline.queue.borrow_mut().append(&bytes[..read], limits);
         }
     }
 }
--- a/crates/net/src/request_queue.rs
+++ b/crates/net/src/request_queue.rs
@@ -3,7 +3,8 @@
 
 use crate::{
     chunks::{ChunkScanner, ScanResult},
-    framing::{FrameResult, RequestFrame, parse_frame},
+    errors::BodyTooLarge,
+    framing::{FrameResult, RequestFrame, parse_frame, with_single_length},
     pipeline::EarlyResponse,
 };
 use hyper::rt::ReadBufCursor;
@@ -12,6 +13,25 @@
 /// Largest number of requests on one connection that run concurrently with the first one, and that are framed.
 const MAX_CONCURRENT: usize = 16;
 
+/// `QueueLimits` are the limits on the requests of a connection.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct QueueLimits {
+    /// Largest head in bytes.
+    pub(crate) head_bytes: usize,
+    /// Largest chunked body in bytes.
+    pub(crate) body_bytes: u64,
+}
+
+// What bytes of a connection are to a body.
+enum BodyPart {
+    // The number of bytes that belong to it.
+    WellFormed(usize),
+    // All of them may belong to it.
+    Malformed,
+    // The number of bytes before it exceeds its limit.
+    TooLarge(usize),
+}
+
 // The part of a request's body that was not received yet.
 #[derive(Debug)]
 enum MissingBody {
@@ -31,11 +51,10 @@
         }
     }
 
-    // Removes the next bytes from what is missing. Returns how many of them belong to the body, and whether they are
-    // well-formed.
-    fn receive(&mut self, bytes: &[u8]) -> (usize, bool) {
+    // Removes the next bytes from what is missing.
+    fn receive(&mut self, bytes: &[u8], max_bytes: u64) -> BodyPart {
         match self {
-            Self::Complete => (0, true),
+            Self::Complete => BodyPart::WellFormed(0),
             Self::Length(left) => {
                 let length =
                     usize::try_from(*left).map_or(bytes.len(), |left| left.min(bytes.len()));
@@ -43,17 +62,18 @@
                 if *left == 0 {
                     *self = Self::Complete;
                 }
-                (length, true)
+                BodyPart::WellFormed(length)
             }
             Self::Chunked(scanner) => {
-                let scanned = scanner.scan(bytes);
+                let scanned = scanner.scan(bytes, max_bytes);
                 if scanned != ScanResult::Partial {
                     *self = Self::Complete;
                 }
                 match scanned {
-                    ScanResult::Partial => (bytes.len(), true),
-                    ScanResult::Complete(length) => (length, true),
-                    ScanResult::Malformed => (bytes.len(), false),
+                    ScanResult::Partial => BodyPart::WellFormed(bytes.len()),
+                    ScanResult::Complete(length) => BodyPart::WellFormed(length),
+                    ScanResult::Malformed => BodyPart::Malformed,
+                    ScanResult::TooLarge(length) => BodyPart::TooLarge(length),
                 }
             }
         }
@@ -71,21 +91,47 @@
     // Bytes that were received and are not yet handed over.
     bytes: Vec<u8>,
     missing: MissingBody,
+    // Whether the body exceeds its limit behind these bytes.
+    is_too_large: bool,
     is_answered: bool,
 }
 
 impl FramedRequest {
-    fn new(frame: RequestFrame, position: u64, head: &[u8]) -> Self {
+    fn new(mut frame: RequestFrame, position: u64, head: &[u8]) -> Self {
+        let mut bytes = head.to_vec();
+        if frame.has_ambiguous_length
+            && let Some(head) = with_single_length(head, frame.body_length)
+        {
+            frame.head_length = head.len();
+            bytes = head;
+        }
         Self {
             position,
             response: None,
-            bytes: head.to_vec(),
+            bytes,
             missing: MissingBody::new(&frame),
             frame,
+            is_too_large: false,
             is_answered: false,
         }
     }
 
+    // Takes the bytes that belong to the body. Returns their number, and whether the end of the body is certain.
+    fn receive(&mut self, bytes: &[u8], max_bytes: u64) -> (usize, bool) {
+        let (length, is_certain) = match self.missing.receive(bytes, max_bytes) {
+            BodyPart::WellFormed(length) => (length, true),
+            // The HTTP library rejects a malformed body when it reaches it.
+            BodyPart::Malformed => (bytes.len(), false),
+            BodyPart::TooLarge(length) => {
+                self.is_too_large = true;
+                (length, false)
+            }
+        };
+        self.bytes.reserve_exact(length);
+        self.bytes.extend_from_slice(&bytes[..length]);
+        (length, is_certain)
+    }
+
     /// Gets the head of a request of which nothing was handed over.
     pub(crate) fn head(&self) -> &[u8] {
         &self.bytes[..self.frame.head_length]
@@ -119,9 +165,9 @@
 }
 
 impl RequestQueue {
-    /// Appends bytes of the connection. Bytes behind a head that is malformed, longer than `max_head_bytes`, or
-    /// without a determined end are not framed.
-    pub(crate) fn append(&mut self, bytes: &[u8], max_head_bytes: usize) {
+    /// Appends bytes of the connection. Bytes behind a head that is malformed, too long, or without a determined end
+    /// are not framed.
+    pub(crate) fn append(&mut self, bytes: &[u8], limits: QueueLimits) {
         let mut rest = std::mem::take(&mut self.rest);
         let mut left = bytes;
         if !rest.is_empty() {
@@ -132,14 +178,11 @@
         while !left.is_empty() && !self.unframed && self.waiting.len() < MAX_CONCURRENT {
             let length = match self.incomplete_request() {
                 Some(request) => {
-                    let (length, well_formed) = request.missing.receive(left);
-                    request.bytes.reserve_exact(length);
-                    request.bytes.extend_from_slice(&left[..length]);
-                    // The HTTP library rejects a malformed body when it reaches it.
-                    self.unframed = !well_formed;
+                    let (length, is_certain) = request.receive(left, limits.body_bytes);
+                    self.unframed = !is_certain;
                     length
                 }
-                None => match parse_frame(left, max_head_bytes) {
+                None => match parse_frame(left, limits.head_bytes) {
                     FrameResult::Partial => break,
                     FrameResult::Unframed => {
                         self.unframed = true;
@@ -161,16 +204,21 @@
 
     /// Hands over the bytes that may be read now: those of the current request, or all if they cannot be framed.
     /// Returns their number.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body of the current request exceeds its limit behind the bytes that were handed over.
     pub(crate) fn hand_over(
         &mut self,
         cursor: &mut ReadBufCursor<'_>,
-        max_head_bytes: usize,
-    ) -> usize {
-        self.begin_next(max_head_bytes);
+        limits: QueueLimits,
+    ) -> Result<usize, BodyTooLarge> {
+        self.begin_next(limits);
         let bytes = match &mut self.current {
             Some(request) if !request.is_handed_over() => &mut request.bytes,
+            Some(request) if request.is_too_large => return Err(BodyTooLarge),
             _ if self.unframed && self.waiting.is_empty() => &mut self.rest,
-            _ => return 0,
+            _ => return Ok(0),
         };
         let length = bytes.len().min(cursor.remaining());
         cursor.put_slice(&bytes[..length]);
@@ -178,7 +226,7 @@
         if bytes.is_empty() {
             *bytes = Vec::new();
         }
-        length
+        Ok(length)
     }
 
     /// Gets the next requests that may run concurrently with the current one.
@@ -268,13 +316,13 @@
         last.filter(|request| !request.is_received())
     }
 
-    fn begin_next(&mut self, max_head_bytes: usize) {
+    fn begin_next(&mut self, limits: QueueLimits) {
         if !self.current.as_ref().is_none_or(is_finished) || self.must_not_begin_next() {
             return;
         }
         self.current = self.waiting.pop_front();
         if !self.rest.is_empty() {
-            self.append(&[], max_head_bytes);
+            self.append(&[], limits);
         }
         if self.waiting.is_empty() {
             self.waiting = VecDeque::new();
--- a/crates/net/src/segments.rs
+++ b/crates/net/src/segments.rs
@@ -3,13 +3,14 @@
 use crate::{
     body::BodyError,
     connections::ConnectionTable,
+    errors::BodyTooLarge,
     memory::{BudgetExceeded, ReservedBytes},
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use snafu::Snafu;
-use std::rc::Rc;
+use std::{error::Error, rc::Rc};
 
 /// Largest segment of a body, in bytes.
 const SEGMENT_BYTES: usize = 64 * 1_024;
@@ -111,7 +112,7 @@
         connections: &ConnectionTable,
     ) -> Result<Self, ReadError>
     where
-        B: Body<Data = Bytes> + Unpin,
+        B: Body<Data = Bytes, Error: Into<Box<dyn Error + Send + Sync>>> + Unpin,
     {
         let announced = body.size_hint().exact();
         let announced = announced.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
@@ -126,7 +127,10 @@
             announced,
         };
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|_| ReadError::Cut)?;
+            let frame = frame.map_err(|error| match is_too_large(error.into().as_ref()) {
+                true => ReadError::TooLarge { limit },
+                false => ReadError::Cut,
+            })?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
@@ -139,6 +143,16 @@
     }
 }
 
+// Tells whether the body ended because its chunks exceed the limit of its listener.
+fn is_too_large(error: &(dyn Error + 'static)) -> bool {
+    let io_error = error.downcast_ref::<std::io::Error>();
+    let inner = io_error.and_then(std::io::Error::get_ref);
+    if inner.is_some_and(|inner| inner.is::<BodyTooLarge>()) {
+        return true;
+    }
+    error.source().is_some_and(is_too_large)
+}
+
 // Collects the bytes of a body in segments.
 struct SegmentReader {
     segments: Vec<Bytes>,
--- a/crates/net/tests/framing.rs
+++ b/crates/net/tests/framing.rs
@@ -2,10 +2,11 @@
 
 use fighall_net::{
     chunks::{ChunkScanner, ScanResult},
-    framing::{FrameResult, RequestFrame, parse_frame, parse_head},
+    framing::{FrameResult, RequestFrame, parse_frame, parse_head, with_single_length},
 };
 
 const MAX_HEAD_BYTES: usize = 64 * 1_024;
+const MAX_BODY_BYTES: u64 = 1 << 40;
 
 fn frame(head: &str) -> Option<RequestFrame> {
     match parse_frame(head.as_bytes(), MAX_HEAD_BYTES) {
@@ -59,7 +60,10 @@
         "CONNECT a:1 HTTP/1.1\r\n\r\n",
         "POST / HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n",
         "POST / HTTP/1.1\r\ncontent-length: -1\r\n\r\n",
-        "POST / HTTP/1.1\r\ncontent-length: 1, 1\r\n\r\n",
+        "POST / HTTP/1.1\r\ncontent-length: 1, 2\r\n\r\n",
+        "POST / HTTP/1.1\r\ncontent-length: 1,\r\n\r\n",
+        "POST / HTTP/1.1\r\ncontent-length: +1\r\n\r\n",
+        "POST / HTTP/1.1\r\ncontent-length: \r\n\r\n",
         "no request at all\r\n\r\n",
     ];
     for head in heads {
@@ -73,6 +77,41 @@
     }
 }
 
+// A list of equal values is processed as one of them (RFC 9112, section 6.3).
+#[test]
+fn repeated_and_large_lengths_are_framed_and_marked() {
+    let cases = [
+        ("content-length: 1\r\n", 1, false),
+        ("content-length: 1, 1\r\n", 1, true),
+        ("content-length: 1\r\ncontent-length: 01\r\n", 1, true),
+        (
+            "content-length: 9223372036854775806\r\n",
+            (1 << 63) - 2,
+            false,
+        ),
+        (
+            "content-length: 18446744073709551615\r\n",
+            (1 << 63) - 1,
+            true,
+        ),
+        (
+            "content-length: 99999999999999999999\r\n",
+            (1 << 63) - 1,
+            true,
+        ),
+    ];
+    for (fields, body_length, is_marked) in cases {
+        let head = format!("POST /a HTTP/1.1\r\nhost: a\r\n{fields}x: y\r\n\r\n");
+        let request_frame = frame(&head).expect("a complete head");
+        assert_eq!(request_frame.body_length, body_length, "{fields}");
+        assert_eq!(request_frame.has_ambiguous_length, is_marked, "{fields}");
+        let single = with_single_length(head.as_bytes(), body_length).expect("a head");
+        let expected =
+            format!("POST /a HTTP/1.1\r\nhost: a\r\nx: y\r\ncontent-length: {body_length}\r\n\r\n");
+        assert_eq!(String::from_utf8_lossy(&single), expected);
+    }
+}
+
 #[test]
 fn a_chunked_body_ends_after_its_last_line_in_any_segments() {
     let bodies = [
@@ -85,10 +124,14 @@
         for end in 0..body.len() {
             let mut scanner = ChunkScanner::default();
             let (first, rest) = text.as_bytes().split_at(end);
-            assert_eq!(scanner.scan(first), ScanResult::Partial, "{body} {end}");
+            assert_eq!(
+                scanner.scan(first, MAX_BODY_BYTES),
+                ScanResult::Partial,
+                "{body} {end}"
+            );
             let left = body.len() - end;
             assert_eq!(
-                scanner.scan(rest),
+                scanner.scan(rest, MAX_BODY_BYTES),
                 ScanResult::Complete(left),
                 "{body} {end}"
             );
@@ -109,15 +152,31 @@
         "1\r\na\n",
         "0\r\nname: value\n",
         "0\r\n\rx",
-        "1000000000000000\r\n",
         &long_line,
     ];
     for body in bodies {
-        let scanned = ChunkScanner::default().scan(body.as_bytes());
+        let scanned = ChunkScanner::default().scan(body.as_bytes(), MAX_BODY_BYTES);
         assert_eq!(scanned, ScanResult::Malformed, "{body}");
     }
 }
 
+// Regression: a size of 16 digits was malformed, and one of 15 digits was not compared with any limit.
+#[test]
+fn chunks_beyond_the_limit_are_recognized_at_the_digit_that_exceeds_it() {
+    let bodies = [
+        ("1000000000000000\r\n", 11),
+        ("fffffffffffffff\r\n", 10),
+        ("0000000100000000001\r\n", 18),
+        ("10000000001\r\n", 10),
+        ("ffffffffffffffffffffffffffffffffffffff;a=b\r\n", 10),
+        ("3\r\nabc\r\nfffffffffe\r\n", 17),
+    ];
+    for (body, position) in bodies {
+        let scanned = ChunkScanner::default().scan(body.as_bytes(), MAX_BODY_BYTES);
+        assert_eq!(scanned, ScanResult::TooLarge(position), "{body}");
+    }
+}
+
 #[test]
 fn requests_that_close_the_connection_are_recognized() {
     let heads = [
--- a/crates/store/tests/endless.rs
+++ b/crates/store/tests/endless.rs
@@ -104,6 +104,25 @@
     }
 }
 
+// Regression: a length that was announced beyond the limit was awaited until the timeout.
+#[test]
+fn a_response_of_the_store_announced_beyond_its_limit_is_not_awaited() {
+    for start in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 8388609\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 18446744073709551613\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 18446744073709551615\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 99999999999999999999\r\n\r\n",
+    ] {
+        let store = start_store(start, "x", 1);
+        for (error, _) in call(store, LONG_TIMEOUT) {
+            assert!(
+                !matches!(error, Error::Timeout { .. }),
+                "{start:?}: {error}"
+            );
+        }
+    }
+}
+
 // Regression: the same for interim responses, whose number had no limit.
 #[test]
 fn interim_responses_of_the_store_beyond_their_limit_fail_the_call() {
