gateway: a host that starts after a restore asks others before it serves

Cause: a host was ready as soon as it had read the store, and learned only from the next heartbeats that others have a policy in force that the store has lost. A peer that had not yet read the restored store was not compared at all.

Change: in an era above 0 it asks the registered hosts for their versions first, for 0.3 s at most, and waits for heartbeats for 0.8 s at most if none that serves responds and some are silent. Policy numbers of an earlier era count. In era 0 nothing changes.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -368,6 +368,11 @@
         peers.chain(zones)
     }
 
+    /// Lists the addresses for messages of all other hosts.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        self.peers().map(|peer| peer.entry.peers).collect()
+    }
+
     /// Lists the addresses for messages of the other hosts of the own zone.
     pub fn local_addresses(&self) -> Vec<SocketAddr> {
         self.local_peers().map(|peer| peer.entry.peers).collect()
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -10,6 +10,7 @@
 mod forwarding;
 mod freshness;
 pub mod peer_copies;
+pub mod start_check;
 
 use crate::{
     behind::LagTracker,
@@ -36,6 +37,7 @@
 };
 use futures_util::{FutureExt, pin_mut, select_biased};
 use slog::Logger;
+use start_check::StartReport;
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
@@ -147,6 +149,9 @@
     reported_era: Cell<StoreEra>,
     // Latest store version that a call for any kind has returned.
     store_version: Cell<Version>,
+    // Whether this host has compared itself with others since it started, and what they reported.
+    start_checked: Cell<bool>,
+    start_reports: RefCell<Vec<StartReport>>,
 }
 
 impl std::fmt::Debug for StoreFollower {
@@ -183,6 +188,8 @@
             logged_watchers: RefCell::new(Vec::new()),
             reported_era: Cell::new(0),
             store_version: Cell::new(0),
+            start_checked: Cell::new(false),
+            start_reports: RefCell::new(Vec::new()),
         })
     }
 
@@ -190,8 +197,9 @@
     /// serve callers.
     pub fn has_synced(&self) -> bool {
         let listed = self.kinds.values().all(|state| state.listed.get());
+        let is_checked = self.start_checked.get() || !self.may_lack_policies();
         let policy = self.policy.borrow();
-        listed && policy.policy().is_some() && !policy.is_outdated()
+        listed && is_checked && policy.policy().is_some() && !policy.is_outdated()
     }
 
     /// Gets the versions and ages of this host's copies, for messages to other hosts.
--- a/crates/gateway/src/follow/freshness.rs
+++ b/crates/gateway/src/follow/freshness.rs
@@ -58,18 +58,15 @@
 
     // Peers that watch the store learn of a new era before a host that only receives forwarded changes;
     // the latter then queries the store, the only authority on its era. A peer that has read the same
-    // store version but has a later policy in force shows that the store has lost that policy.
-    fn compare_with_peers(&self, now: BootTime) {
-        let router = self.router.borrow();
+    // store version, or one of an earlier era, but has a later policy in force shows that the store has
+    // lost that policy.
+    pub(super) fn compare_with_peers(&self, now: BootTime) {
         let version = self.copies.latest(FollowedKind::Policy);
-        let (mut era, mut number) = (0, 0);
-        for copies in router.fleet.copies(now) {
-            era = era_of(copies.policy).max(era);
-            if copies.policy == version {
-                number = copies.policy_number.max(number);
-            }
-        }
+        let number = self.latest_peer_number(now, version);
         self.policy.borrow_mut().set_peer_number(number);
+        let router = self.router.borrow();
+        let eras = router.fleet.copies(now).map(|copies| era_of(copies.policy));
+        let era = eras.max().unwrap_or(0);
         if era <= self.store.era() || era <= self.reported_era.replace(era) {
             return;
         }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -222,6 +222,7 @@
         let kernel = &self.kernel;
         kernel.spawn_service(Rc::clone(&self.follower).run_checks());
         kernel.spawn_service(Rc::clone(&self.follower).follow_eras());
+        kernel.spawn_service(Rc::clone(&self.follower).check_start());
         kernel.spawn_service(Rc::clone(&self.beat_service).run_receiver());
         kernel.spawn_service(Rc::clone(&self.beat_service).run_sender());
         kernel.spawn_service(Rc::clone(&self.beat_service).run_forwarder());
--- a/crates/gateway/src/node/peer_copies.rs
+++ b/crates/gateway/src/node/peer_copies.rs
@@ -1,13 +1,17 @@
 //! Copies of store objects for other hosts, over the address that their messages come to.
 
 use super::{GatewayNode, auxiliary_limits, build_response};
-use crate::follow::peer_copies::kind_of_path;
+use crate::{
+    follow::{peer_copies::kind_of_path, start_check::STATUS_PATH},
+    message::FollowedKind,
+};
 use bytes::Bytes;
 use compio::net::TcpListener;
 use fighall_core::clock::boot_time;
 use fighall_net::{body::ProxyBody, listener::serve};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use serde::Serialize;
 use slog::warn;
 use std::{rc::Rc, time::Duration};
 
@@ -29,15 +33,31 @@
             auxiliary_limits,
             move |request, _| {
                 let gateway = Rc::clone(&gateway);
-                async move { gateway.serve_copy(&request) }
+                async move { gateway.serve_peer(&request) }
             },
         )
     }
 
-    fn serve_copy(&self, request: &Request<Incoming>) -> Response<ProxyBody> {
-        let Some(kind) = kind_of_path(request.uri().path()) else {
-            return build_response(StatusCode::NOT_FOUND, String::new(), None);
+    fn serve_peer(&self, request: &Request<Incoming>) -> Response<ProxyBody> {
+        let path = request.uri().path();
+        if path == STATUS_PATH {
+            return self.serve_status();
+        }
+        match kind_of_path(path) {
+            Some(kind) => self.serve_copy(kind),
+            None => build_response(StatusCode::NOT_FOUND, String::new(), None),
+        }
+    }
+
+    fn serve_status(&self) -> Response<ProxyBody> {
+        let Some(status) = self.follower.status_report() else {
+            return build_response(StatusCode::SERVICE_UNAVAILABLE, String::new(), None);
         };
+        self.encode(&status)
+            .map_or_else(encoding_failed, |body| Response::new(ProxyBody::full(body)))
+    }
+
+    fn serve_copy(&self, kind: FollowedKind) -> Response<ProxyBody> {
         let now = boot_time();
         let sent_by = self.copies_sent_by.get().max(now);
         let has_room = sent_by - now <= MAX_COPY_DELAY;
@@ -45,14 +65,25 @@
         let Some(copy) = copy else {
             return build_response(StatusCode::SERVICE_UNAVAILABLE, String::new(), None);
         };
-        let mut body = Vec::new();
-        if let Err(error) = ciborium::into_writer(&copy, &mut body) {
-            warn!(self.logger, "encoding a copy failed"; "error" => error.to_string());
-            return build_response(StatusCode::INTERNAL_SERVER_ERROR, String::new(), None);
-        }
+        let Some(body) = self.encode(&copy) else {
+            return encoding_failed();
+        };
         let bytes = f64::from(u32::try_from(body.len()).unwrap_or(u32::MAX));
         let duration = Duration::from_secs_f64(bytes / COPY_BYTES_PER_SECOND);
         self.copies_sent_by.set(sent_by + duration);
-        Response::new(ProxyBody::full(Bytes::from(body)))
+        Response::new(ProxyBody::full(body))
+    }
+
+    fn encode(&self, message: &impl Serialize) -> Option<Bytes> {
+        let mut body = Vec::new();
+        if let Err(error) = ciborium::into_writer(message, &mut body) {
+            warn!(self.logger, "encoding for another host failed"; "error" => error.to_string());
+            return None;
+        }
+        Some(body.into())
     }
 }
+
+fn encoding_failed() -> Response<ProxyBody> {
+    build_response(StatusCode::INTERNAL_SERVER_ERROR, String::new(), None)
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -31,7 +31,7 @@
         FieldSpec::text("directory", "Address for look-ups"),
         FieldSpec::text(
             "peers",
-            "Address for other hosts: heartbeats over UDP, copies of store objects over TCP",
+            "Address for other hosts: heartbeats over UDP, copies of store objects and their versions over TCP",
         ),
         FieldSpec::text("metrics", "Address at which metrics are served"),
         FieldSpec::text("store", "Address of the platform's store"),
--- a/crates/gateway/tests/eras.rs
+++ b/crates/gateway/tests/eras.rs
@@ -6,15 +6,25 @@
 use fighall_gateway::{
     native::{EVACUATIONS, MAIN_POLICY, POLICIES, TARGETS},
     policy::TrafficPolicy,
-    registry::HOSTS_KIND,
+    registry::{HOSTS_KIND, HostEntry},
     roster::TargetEntry,
 };
-use fighall_testkit::{faults::StoreFaults, platform::StoreCopy};
-use std::time::Duration;
+use fighall_testkit::{
+    faults::StoreFaults,
+    platform::{PlatformStandIn, StoreCopy},
+};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 use support::{KEY, TestFleet, policy, send, settings, start_gateway, target_entry};
 
 /// Time within which a host has to detect a new era.
 const ERA_DETECTION_TIME: Duration = Duration::from_millis(2_000);
+/// Time for which a host that starts waits for heartbeats if nobody who may know more responds.
+const HEARTBEAT_GRACE: Duration = Duration::from_millis(800);
+/// Time after which a host that starts is given up.
+const START_LIMIT: Duration = Duration::from_secs(5);
 /// Time after which objects that are missing in the store count as deleted.
 const DELETION_TIME: Duration = Duration::from_millis(5_000);
 
@@ -108,6 +118,147 @@
     });
 }
 
+// Sends requests with the withdrawn key to a host that starts, until `time` is over. Returns how many ran.
+async fn runs_at_start(fleet: &TestFleet, callers: SocketAddr, time: Duration) -> u32 {
+    let client = cyper::Client::new().expect("the client should be created");
+    let started_at = Instant::now();
+    let (mut number, mut runs) = (0, 0);
+    while started_at.elapsed() < time {
+        number += 1;
+        let mark = format!("start-{number}");
+        // The host may not accept connections yet.
+        let _ = send(&client, callers, "/read/a", &mark, KEY).await;
+        runs += fleet.runs(&mark);
+        compio::time::sleep(Duration::from_millis(5)).await;
+    }
+    runs
+}
+
+// Regression: a host that started after the store had come back from an older copy served a withdrawn key until the first
+// heartbeat of another host.
+#[test]
+fn a_host_that_starts_after_a_restore_serves_no_key_that_others_know_to_be_withdrawn() {
+    run(async {
+        let fleet = TestFleet::start(1, "").await;
+        fleet.publish(|_| {}).await;
+        let copy = fleet.store.copy();
+        fleet.publish(without_key).await;
+        restore(&fleet, copy).await;
+        let (_, settings) = settings("h2", fleet.store.address(), "");
+        let callers = settings.callers;
+        let host = start_gateway(settings).await;
+        let runs = runs_at_start(&fleet, callers, Duration::from_millis(1_500)).await;
+        assert_eq!(runs, 0, "requests with the withdrawn key ran");
+        assert!(!host.is_ready(), "the store has an older policy");
+        fleet.publish(without_key).await;
+        compio::time::sleep(ERA_DETECTION_TIME).await;
+        assert!(host.is_ready());
+        let client = cyper::Client::new().expect("the client should be created");
+        let response = send(&client, callers, "/read/a", "next", "fk_next").await;
+        assert_eq!(response.expect("a response").status, 200);
+    });
+}
+
+// Starts a host in a later era of the store and gets the time until it is ready.
+async fn ready_time(fleet: &TestFleet, host: &str) -> Duration {
+    let (_, settings) = settings(host, fleet.store.address(), "");
+    let started_at = Instant::now();
+    let host = start_gateway(settings).await;
+    while !host.is_ready() && started_at.elapsed() < START_LIMIT {
+        compio::time::sleep(Duration::from_millis(5)).await;
+    }
+    started_at.elapsed()
+}
+
+async fn start_restored_fleet() -> TestFleet {
+    let fleet = TestFleet::start(1, "").await;
+    fleet.publish(|_| {}).await;
+    restore(&fleet, fleet.store.copy()).await;
+    compio::time::sleep(ERA_DETECTION_TIME).await;
+    fleet
+}
+
+// Adds the entry of a host whose messages arrive at `peers`.
+fn add_host_entry(fleet: &TestFleet, host: &str, peers: SocketAddr) {
+    let entry = HostEntry {
+        host: host.to_owned(),
+        incarnation: 1,
+        region: "lima".to_owned(),
+        zone: "lima-a".to_owned(),
+        callers: peers,
+        peers,
+    };
+    let text = serde_json::to_string(&entry).expect("the entry should be encodable");
+    fleet.store.put(HOSTS_KIND, host, &text);
+}
+
+// The longest wait: for the answers of hosts, 0.3 s, within the grace for heartbeats, 0.8 s.
+#[test]
+fn a_host_starts_in_time_whether_others_respond_or_are_dead_or_silent() {
+    run(async {
+        let fleet = start_restored_fleet().await;
+        let calm = ready_time(&fleet, "h2").await;
+        assert!(calm < HEARTBEAT_GRACE, "others respond: {calm:?}");
+        let ended = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let address = ended.local_addr().expect("an address");
+        drop(ended);
+        add_host_entry(&fleet, "h-dead", address);
+        let dead = ready_time(&fleet, "h3").await;
+        assert!(dead < HEARTBEAT_GRACE, "one is dead: {dead:?}");
+        let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let address = silent.local_addr().expect("an address");
+        add_host_entry(&fleet, "h-silent", address);
+        let one_silent = ready_time(&fleet, "h4").await;
+        assert!(
+            one_silent < HEARTBEAT_GRACE,
+            "one is silent: {one_silent:?}"
+        );
+    });
+}
+
+// Hosts that start together have nobody who knows more; with silent ones they wait for heartbeats.
+#[test]
+fn hosts_start_in_time_when_nobody_has_served_before() {
+    run(async {
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let store = PlatformStandIn::start(loopback, 1).await.expect("a store");
+        let text = serde_json::to_string(&policy(1)).expect("a policy");
+        store.put(POLICIES, MAIN_POLICY, &text);
+        store.restore(store.copy());
+        let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let peers = silent.local_addr().expect("an address");
+        for has_silent in [false, true] {
+            if has_silent {
+                let entry = HostEntry {
+                    host: "h-silent".to_owned(),
+                    incarnation: 1,
+                    region: "lima".to_owned(),
+                    zone: "lima-a".to_owned(),
+                    callers: peers,
+                    peers,
+                };
+                let text = serde_json::to_string(&entry).expect("an entry");
+                store.put(HOSTS_KIND, "h-silent", &text);
+            }
+            let started_at = Instant::now();
+            let mut hosts = Vec::new();
+            for number in 0..4 {
+                let name = format!("h{has_silent}{number}");
+                let (_, settings) = settings(&name, store.address(), "");
+                hosts.push(start_gateway(settings).await);
+            }
+            while !hosts.iter().all(|host| host.is_ready()) && started_at.elapsed() < START_LIMIT {
+                compio::time::sleep(Duration::from_millis(5)).await;
+            }
+            let elapsed = started_at.elapsed();
+            assert!(
+                elapsed < HEARTBEAT_GRACE + ERA_DETECTION_TIME,
+                "{elapsed:?}"
+            );
+        }
+    });
+}
+
 #[test]
 fn departed_targets_get_no_requests_and_the_others_stay() {
     run(async {
