--- a/crates/gateway/src/follow/start_check.rs
+++ b/crates/gateway/src/follow/start_check.rs
@@ -1,5 +1,5 @@
 //! Check at the start of a host: a store that came back from an older copy may lack a policy that other hosts have in
-//! force. A host that starts asks them before it serves.
+//! force. A host that starts queries them before it serves.
 
 use super::{STARTUP_GRACE, StoreFollower};
 use crate::message::{CopyStatus, FollowedKind};
@@ -24,8 +24,8 @@
 const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest report, in bytes.
 const MAX_STATUS_BYTES: usize = 4 << 10;
-/// Number of hosts that are asked at a time.
-const MAX_ASKED_HOSTS: usize = 24;
+/// Number of hosts that are queried concurrently.
+const MAX_CONCURRENT_QUERIES: usize = 24;
 /// Interval at which a host that starts looks whether it has listed the store's objects.
 const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Time for which a report counts: until heartbeats arrive, and their senders have read what the store has.
@@ -38,14 +38,14 @@
     copies: CopyStatus,
 }
 
-/// `StatusAnswer` is what became of a question to a host.
-enum StatusAnswer {
+/// `StatusOutcome` is the outcome of a status request to a host.
+enum StatusOutcome {
     /// The host serves callers and has reported its versions.
-    Known(CopyStatus),
+    Reported(CopyStatus),
     /// The host is starting as well, or has no process.
-    Unaware,
-    /// The host may know more.
-    Silent,
+    NotServing,
+    /// The host may have a later policy: it did not respond, or is of an earlier build.
+    Undetermined,
 }
 
 impl StoreFollower {
@@ -54,7 +54,7 @@
         self.has_synced().then(|| self.copy_status(boot_time()))
     }
 
-    /// Asks other hosts once this one has read the store, and then lets it serve.
+    /// Queries other hosts once this one has read the store, and then lets it serve.
     pub async fn check_start(self: Rc<Self>) {
         let state = |kind| self.kinds.get(&kind);
         let is_listed = |kind| state(kind).is_some_and(|state| state.listed.get());
@@ -62,7 +62,7 @@
             compio::time::sleep(LIST_CHECK_INTERVAL).await;
         }
         if self.may_lack_policies() {
-            self.ask_hosts(boot_time() + STARTUP_GRACE).await;
+            self.query_hosts(boot_time() + STARTUP_GRACE).await;
         }
         self.start_checked.set(true);
     }
@@ -72,27 +72,26 @@
         self.store.era() > 0
     }
 
-    async fn ask_hosts(&self, ends_at: BootTime) {
-        let peers = self.router.borrow().fleet.peer_addresses();
-        let mut addresses = peers;
+    async fn query_hosts(&self, ends_at: BootTime) {
+        let mut addresses = self.router.borrow().fleet.peer_addresses();
         fastrand::shuffle(&mut addresses);
-        let (mut known_count, mut is_certain) = (0_usize, true);
-        for addresses in addresses.chunks(MAX_ASKED_HOSTS) {
-            if known_count > 0 || boot_time() >= ends_at {
+        let (mut report_count, mut is_complete) = (0_usize, true);
+        for addresses in addresses.chunks(MAX_CONCURRENT_QUERIES) {
+            if report_count > 0 || boot_time() >= ends_at {
                 break;
             }
-            let answers = addresses.iter().map(|address| request_status(*address));
-            for answer in join_all(answers).await {
-                match answer {
-                    StatusAnswer::Known(copies) => {
-                        known_count += 1;
+            let requests = addresses.iter().map(|address| request_status(*address));
+            for outcome in join_all(requests).await {
+                match outcome {
+                    StatusOutcome::Reported(copies) => {
+                        report_count += 1;
                         self.start_reports.borrow_mut().push(StartReport {
                             received_at: boot_time(),
                             copies,
                         });
                     }
-                    StatusAnswer::Unaware => {}
-                    StatusAnswer::Silent => is_certain = false,
+                    StatusOutcome::NotServing => {}
+                    StatusOutcome::Undetermined => is_complete = false,
                 }
             }
         }
@@ -100,11 +99,11 @@
         self.compare_with_peers(now);
         info!(self.logger, "start compared with other hosts";
             "hosts" => addresses.len(),
-            "reports" => known_count,
+            "reports" => report_count,
             "outdated" => self.policy.borrow().is_outdated(),
         );
         // Heartbeats of hosts that did not respond arrive within this time.
-        if known_count == 0 && !is_certain {
+        if report_count == 0 && !is_complete {
             compio::time::sleep(ends_at.saturating_sub(now)).await;
             self.compare_with_peers(boot_time());
         }
@@ -127,15 +126,15 @@
     }
 }
 
-async fn request_status(address: SocketAddr) -> StatusAnswer {
-    let answer = compio::time::timeout(STATUS_TIMEOUT, exchange(address)).await;
-    answer.unwrap_or(StatusAnswer::Silent)
+async fn request_status(address: SocketAddr) -> StatusOutcome {
+    let outcome = compio::time::timeout(STATUS_TIMEOUT, exchange(address)).await;
+    outcome.unwrap_or(StatusOutcome::Undetermined)
 }
 
-async fn exchange(address: SocketAddr) -> StatusAnswer {
+async fn exchange(address: SocketAddr) -> StatusOutcome {
     let request = Request::get(STATUS_PATH).header(HOST, address.to_string());
     let Ok(request) = request.body(Bytes::new()) else {
-        return StatusAnswer::Silent;
+        return StatusOutcome::Undetermined;
     };
     let pool = ConnectionPool::new();
     let response = match call(&pool, address, &request).await {
@@ -144,17 +143,17 @@
             source: ConnectError::Refused {
                 port_closed: true, ..
             },
-        }) => return StatusAnswer::Unaware,
-        Err(_) => return StatusAnswer::Silent,
+        }) => return StatusOutcome::NotServing,
+        Err(_) => return StatusOutcome::Undetermined,
     };
     match response.head.status {
         StatusCode::OK => {}
-        StatusCode::SERVICE_UNAVAILABLE => return StatusAnswer::Unaware,
-        _ => return StatusAnswer::Silent,
+        StatusCode::SERVICE_UNAVAILABLE => return StatusOutcome::NotServing,
+        _ => return StatusOutcome::Undetermined,
     }
     let body = response.read_to_end(&pool, MAX_STATUS_BYTES).await;
     let copies = body
         .ok()
         .and_then(|body| ciborium::from_reader(&body[..]).ok());
-    copies.map_or(StatusAnswer::Silent, StatusAnswer::Known)
+    copies.map_or(StatusOutcome::Undetermined, StatusOutcome::Reported)
 }
--- a/crates/gateway/src/turn_report.rs
+++ b/crates/gateway/src/turn_report.rs
@@ -41,6 +41,7 @@
             compio::time::sleep(CHECK_INTERVAL).await;
             let now = boot_time();
             longest = longest.max(now.saturating_sub(due_at));
+            self.record(longest);
             if longest >= LONG_DELAY && now.saturating_sub(reported_at) >= REPORT_INTERVAL {
                 self.report(longest);
                 (longest, reported_at) = (Duration::ZERO, now);
@@ -48,13 +49,16 @@
         }
     }
 
-    fn report(&self, delay: Duration) {
+    fn record(&self, delay: Duration) {
         let delay_ms = i64::try_from(delay.as_millis()).unwrap_or(i64::MAX);
         let longest_ms = self.metrics.longest_delay_ms.get().max(delay_ms);
         self.metrics.longest_delay_ms.set(longest_ms);
+    }
+
+    fn report(&self, delay: Duration) {
         let busiest = take_busiest();
         warn!(self.logger, "tasks were delayed";
-            "delay_ms" => delay_ms,
+            "delay_ms" => delay.as_millis(),
             "subject" => busiest.as_ref().map(|task| task.subject.as_str()),
             "units" => busiest.as_ref().map(|task| task.units),
         );
--- a/crates/gateway/tests/eras.rs
+++ b/crates/gateway/tests/eras.rs
@@ -179,7 +179,7 @@
 }
 
 // Adds the entry of a host whose messages arrive at `peers`.
-fn add_host_entry(fleet: &TestFleet, host: &str, peers: SocketAddr) {
+fn add_host_entry(store: &PlatformStandIn, host: &str, peers: SocketAddr) {
     let entry = HostEntry {
         host: host.to_owned(),
         incarnation: 1,
@@ -189,7 +189,7 @@
         peers,
     };
     let text = serde_json::to_string(&entry).expect("the entry should be encodable");
-    fleet.store.put(HOSTS_KIND, host, &text);
+    store.put(HOSTS_KIND, host, &text);
 }
 
 // The longest wait: for the answers of hosts, 0.3 s, within the grace for heartbeats, 0.8 s.
@@ -202,12 +202,12 @@
         let ended = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
         let address = ended.local_addr().expect("an address");
         drop(ended);
-        add_host_entry(&fleet, "h-dead", address);
+        add_host_entry(&fleet.store, "h-dead", address);
         let dead = ready_time(&fleet, "h3").await;
         assert!(dead < HEARTBEAT_GRACE, "one is dead: {dead:?}");
         let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
         let address = silent.local_addr().expect("an address");
-        add_host_entry(&fleet, "h-silent", address);
+        add_host_entry(&fleet.store, "h-silent", address);
         let one_silent = ready_time(&fleet, "h4").await;
         assert!(
             one_silent < HEARTBEAT_GRACE,
@@ -229,16 +229,7 @@
         let peers = silent.local_addr().expect("an address");
         for has_silent in [false, true] {
             if has_silent {
-                let entry = HostEntry {
-                    host: "h-silent".to_owned(),
-                    incarnation: 1,
-                    region: "lima".to_owned(),
-                    zone: "lima-a".to_owned(),
-                    callers: peers,
-                    peers,
-                };
-                let text = serde_json::to_string(&entry).expect("an entry");
-                store.put(HOSTS_KIND, "h-silent", &text);
+                add_host_entry(&store, "h-silent", peers);
             }
             let started_at = Instant::now();
             let mut hosts = Vec::new();
--- a/crates/net/src/announced.rs
+++ b/crates/net/src/announced.rs
@@ -1,6 +1,6 @@
 //! The length of a body that a message announces (RFC 9112, section 6.3; RFC 9110, section 8.6).
 
-/// Length that stands for all larger ones: more than any body has, and less than what readers reserve for other uses.
+/// Length that stands for all larger ones: no body has as many bytes, and the HTTP library reserves no such value.
 pub(crate) const MAX_LENGTH: u64 = i64::MAX.cast_unsigned();
 
 /// `AnnouncedLength` is what the `Content-Length` fields of a message announce.
@@ -41,7 +41,7 @@
         length.min(MAX_LENGTH)
     }
 
-    /// Tells whether readers may differ in how they take the fields.
+    /// Tells whether parsers may interpret the fields differently.
     pub(crate) fn is_ambiguous(&self) -> bool {
         self.is_repeated || self.bytes() == MAX_LENGTH
     }
--- a/crates/net/src/call.rs
+++ b/crates/net/src/call.rs
@@ -43,7 +43,7 @@
     connection: PooledConnection,
 }
 
-/// Sends a request with a complete head, again on another connection if an idle one closed before it took the request.
+/// Sends a request with a complete head, again on another connection if an idle one closed before it accepted the request.
 ///
 /// # Errors
 ///
--- a/crates/net/src/framing.rs
+++ b/crates/net/src/framing.rs
@@ -17,8 +17,7 @@
     pub head_length: usize,
     /// Length of the body in bytes; 0 for a chunked body.
     pub body_length: u64,
-    /// Whether the head announces its length in another way than with one field that every reader takes for this
-    /// length.
+    /// Whether the length is announced in another way than with one field that all parsers interpret alike.
     pub has_ambiguous_length: bool,
     /// Whether the body is chunked.
     pub is_chunked: bool,
@@ -80,8 +79,8 @@
     Some(parts)
 }
 
-/// Writes the complete head at the start of `bytes` anew, with one field for a body of `body_length`. Returns nothing if
-/// the head is malformed.
+/// Writes the complete head at the start of `bytes` anew, with one field for a body of `body_length`. It is no longer
+/// than before. Returns nothing if the head is malformed.
 pub fn with_single_length(bytes: &[u8], body_length: u64) -> Option<Vec<u8>> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Request::new(&mut headers);
@@ -90,11 +89,11 @@
     let mut head = format!("{method} {path} {:?}\r\n", version(&parsed)).into_bytes();
     for header in parsed.headers.iter() {
         if !header.name.eq_ignore_ascii_case(CONTENT_LENGTH.as_str()) {
-            let line = [header.name.as_bytes(), b": ", header.value, b"\r\n"];
+            let line = [header.name.as_bytes(), b":", header.value, b"\r\n"];
             head.extend(line.concat());
         }
     }
-    head.extend(format!("{CONTENT_LENGTH}: {body_length}\r\n\r\n").as_bytes());
+    head.extend(format!("{CONTENT_LENGTH}:{body_length}\r\n\r\n").as_bytes());
     Some(head)
 }
 
--- a/crates/net/src/pipeline.rs
+++ b/crates/net/src/pipeline.rs
@@ -42,7 +42,7 @@
     changed: Event,
 }
 
-/// `RequestPlace` tells where a request arrived.
+/// `RequestPlace` is where a request arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestPlace {
     /// Number of the connection, unique in its process.
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -61,7 +61,7 @@
 /// `SendError` is the reason why there is no response to a request. The connection cannot be used again.
 #[derive(Debug, Snafu)]
 pub enum SendError {
-    /// The connection closed before it took the request.
+    /// The connection closed before it accepted the request.
     #[snafu(display("the request was not sent: {source}"))]
     NotSent {
         /// Error of the connection.
--- a/crates/net/tests/framing.rs
+++ b/crates/net/tests/framing.rs
@@ -107,7 +107,7 @@
         assert_eq!(request_frame.has_ambiguous_length, is_marked, "{fields}");
         let single = with_single_length(head.as_bytes(), body_length).expect("a head");
         let expected =
-            format!("POST /a HTTP/1.1\r\nhost: a\r\nx: y\r\ncontent-length: {body_length}\r\n\r\n");
+            format!("POST /a HTTP/1.1\r\nhost:a\r\nx:y\r\ncontent-length:{body_length}\r\n\r\n");
         assert_eq!(String::from_utf8_lossy(&single), expected);
     }
 }
