net: turns of 32 KiB, and what is read ahead is copied once

Cause: what is left of a read was copied into an allocation of its own with each read and with each request that began, an incomplete head was parsed again with each request before it, and a turn of 16 KiB is one head.

--- a/crates/net/src/request_queue.rs
+++ b/crates/net/src/request_queue.rs
@@ -160,6 +160,8 @@
     received_count: u64,
     // The bytes behind them: further requests, an incomplete head, or bytes that cannot be framed.
     rest: Vec<u8>,
+    // Whether these bytes may have further requests, which are framed when there is room for them.
+    has_unframed_requests: bool,
     unframed: bool,
     stopping: bool,
 }
@@ -168,13 +170,28 @@
     /// Appends bytes of the connection. Bytes behind a head that is malformed, too long, or without a determined end
     /// are not framed.
     pub(crate) fn append(&mut self, bytes: &[u8], limits: QueueLimits) {
+        if self.rest.is_empty() {
+            let length = self.frame(bytes, limits);
+            self.rest = bytes[length..].to_vec();
+            return;
+        }
+        self.rest.reserve_exact(bytes.len());
+        self.rest.extend_from_slice(bytes);
+        self.frame_rest(limits);
+    }
+
+    fn frame_rest(&mut self, limits: QueueLimits) {
         let mut rest = std::mem::take(&mut self.rest);
-        let mut left = bytes;
-        if !rest.is_empty() {
-            rest.reserve_exact(bytes.len());
-            rest.extend_from_slice(bytes);
-            left = &rest;
+        let length = self.frame(&rest, limits);
+        if length < rest.len() {
+            rest.drain(..length);
+            self.rest = rest;
         }
+    }
+
+    // Adds bytes to the requests that they belong to. Returns their number.
+    fn frame(&mut self, bytes: &[u8], limits: QueueLimits) -> usize {
+        let mut left = bytes;
         while !left.is_empty() && !self.unframed && self.waiting.len() < MAX_CONCURRENT {
             let length = match self.incomplete_request() {
                 Some(request) => {
@@ -199,7 +216,8 @@
             };
             left = &left[length..];
         }
-        self.rest = left.to_vec();
+        self.has_unframed_requests = self.waiting.len() >= MAX_CONCURRENT;
+        bytes.len() - left.len()
     }
 
     /// Hands over the bytes that may be read now: those of the current request, or all if they cannot be framed.
@@ -321,8 +339,8 @@
             return;
         }
         self.current = self.waiting.pop_front();
-        if !self.rest.is_empty() {
-            self.append(&[], limits);
+        if std::mem::take(&mut self.has_unframed_requests) {
+            self.frame_rest(limits);
         }
         if self.waiting.is_empty() {
             self.waiting = VecDeque::new();
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -20,7 +20,7 @@
 /// Largest number of bytes in one read: the initial size of hyper's read buffer.
 pub(crate) const READ_SIZE: usize = 8 * 1_024;
 /// Number of bytes that a task transfers on one connection before it gives way to others.
-const TURN_BYTES: usize = 2 * READ_SIZE;
+const TURN_BYTES: usize = 4 * READ_SIZE;
 
 /// `SocketStream` is a connected socket.
 #[derive(Debug)]
