test: racing publications overlap however long a connection takes

Cause: the test starts two publications at once and relies on both reading the pointer before either writes it. A publication that reads the pointer after the other one has written it does not race and rightly succeeds, so that the test was wrong about what it starts.

Change: the store answers after 100 ms, so that both have read before either writes. The checks are the same: one wins, the other gets a conflict that names the document.

--- a/crates/testkit/tests/recovery.rs
+++ b/crates/testkit/tests/recovery.rs
@@ -105,6 +105,11 @@
 fn of_racing_publications_one_wins_and_the_others_are_told_what_differs() {
     run(async {
         let cluster = LocalCluster::start(small()).await.unwrap();
+        // Both read the pointer before either writes it, however long a new connection takes.
+        cluster.platform.set_faults(StoreFaults {
+            delay_ms: 100,
+            ..StoreFaults::default()
+        });
         let mut first = cluster.fleet_document();
         first.organisations.push(organisation("first", 5, 5));
         let mut second = cluster.fleet_document();
